--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,116 @@
+package wire
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func genWork(t *rapid.T) Work {
+	w := Work{
+		Uid:     "run-" + rapid.StringMatching(`[0-9]{6,9}`).Draw(t, "uid"),
+		Berth:   rapid.StringMatching(`[a-z]{1,8}`).Draw(t, "berth"),
+		Crew:    rapid.StringMatching(`[a-z-]{1,8}`).Draw(t, "crew"),
+		Shape:   rapid.SampledFrom([]Shape{Sweep, Standing}).Draw(t, "shape"),
+		Rank:    rapid.SampledFrom([]Rank{Critical, High, Standard, BestEffort}).Draw(t, "rank"),
+		Legs:    rapid.IntRange(1, MaxLegs).Draw(t, "legs"),
+		Cores:   float64(rapid.IntRange(1, 64).Draw(t, "cores")),
+		Gpus:    float64(rapid.IntRange(0, 8).Draw(t, "gpus")),
+		RamGb:   rapid.Float64Range(0, 1e6).Draw(t, "ram"),
+		Rollout: rapid.StringMatching(`img-[0-9]{2}`).Draw(t, "image"),
+		ImageGb: rapid.Float64Range(0, 1e3).Draw(t, "imageGb"),
+		Standby: rapid.Bool().Draw(t, "standby"),
+		Scatter: rapid.Bool().Draw(t, "scatter"),
+		ExpectS: rapid.Float64Range(0, 1e6).Draw(t, "expect"),
+	}
+	if rapid.Bool().Draw(t, "hasDue") {
+		due := rapid.Float64Range(0, 1e6).Draw(t, "due")
+		w.DueS = &due
+	}
+	if rapid.Bool().Draw(t, "hasRigs") {
+		w.Rigs = []string{"g8", "g4"}
+	}
+	return w
+}
+
+func TestWorkRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := genWork(t)
+		data, err := json.Marshal(w)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := ParseWork(data)
+		if err != nil {
+			t.Fatalf("%s: %v", data, err)
+		}
+		again, _ := json.Marshal(got)
+		if string(again) != string(data) {
+			t.Fatalf("got %s, want %s", again, data)
+		}
+	})
+}
+
+// A field that is missing, null or of another type makes the body malformed.
+func TestWorkNeedsItsFields(t *testing.T) {
+	required := []string{"Uid", "Berth", "Crew", "Shape", "Rank", "Legs", "Cores", "Gpus", "RamGb", "Rollout", "ImageGb"}
+	rapid.Check(t, func(t *rapid.T) {
+		data, _ := json.Marshal(genWork(t))
+		var m map[string]any
+		if err := json.Unmarshal(data, &m); err != nil {
+			t.Fatal(err)
+		}
+		field := rapid.SampledFrom(required).Draw(t, "field")
+		switch rapid.IntRange(0, 2).Draw(t, "how") {
+		case 0:
+			delete(m, field)
+		case 1:
+			m[field] = nil
+		case 2:
+			m[field] = []int{1}
+		}
+		bad, _ := json.Marshal(m)
+		if _, err := ParseWork(bad); err == nil {
+			t.Fatalf("accepted %s", bad)
+		}
+	})
+}
+
+func TestWorkRefusesWhatIsOutOfRange(t *testing.T) {
+	good := `{"Uid":"run-000412","Berth":"train","Crew":"vision","Shape":"sweep","Rank":"high","Legs":16,"Cores":8.0,"Gpus":1.0,"RamGb":64.0,"Rollout":"img-07","ImageGb":6.2,"Rigs":null,"Yard":null,"DueS":null}`
+	if _, err := ParseWork([]byte(good)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range [][2]string{
+		{`"run-000412"`, `"job-000412"`}, {`"run-000412"`, `"run-12"`}, {`"run-000412"`, `"run-00041x"`},
+		{`"sweep"`, `"loop"`}, {`"high"`, `"top"`}, {`"Legs":16`, `"Legs":0`}, {`"Legs":16`, `"Legs":1.5`},
+		{`"Legs":16`, `"Legs":100001`}, {`"Cores":8.0`, `"Cores":-1`}, {`"ImageGb":6.2`, `"ImageGb":-1`},
+		{`"Rigs":null`, `"Rigs":[]`}, {`"Yard":null`, `"Yard":""`}, {`"DueS":null`, `"DueS":-3`},
+		{`{"Uid"`, `[{"Uid"`}, {`"DueS":null}`, `"DueS":null`},
+	} {
+		bad := strings.Replace(good, c[0], c[1], 1)
+		if bad == good {
+			t.Fatalf("nothing replaced by %v", c)
+		}
+		if _, err := ParseWork([]byte(bad)); err == nil {
+			t.Errorf("accepted %s", bad)
+		}
+	}
+}
+
+func TestLegNames(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		uid, leg := "run-000001", rapid.IntRange(0, MaxLegs).Draw(t, "leg")
+		gotUid, gotLeg, ok := SplitLeg(LegName(uid, leg))
+		if !ok || gotUid != uid || gotLeg != leg {
+			t.Fatalf("got %s %d %v", gotUid, gotLeg, ok)
+		}
+	})
+	for _, bad := range []string{"", "run-000001", "/1", "run-000001/", "run-000001/-1", "run-000001/01", "run-000001/x"} {
+		if _, _, ok := SplitLeg(bad); ok {
+			t.Errorf("took %q for a task", bad)
+		}
+	}
+}
