A deposed leader that lost the state service sends its workers to the new leader

The new leader took machines that had not reported to it within two leases for lost and returned them all. Both are mended: the name is taken when it comes, and silent machines are not returned while most are silent. Ruled out: recovery from the crash of all nodes during the outage, which went well.

--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -177,6 +177,10 @@
 			heard++
 		case fleet.Silent:
 			silent++
+		case fleet.Booting:
+			if m.LiveCount() > 0 {
+				silent++
+			}
 		}
 	})
 	// If most machines are silent, it is rather this node that is cut off.
@@ -189,8 +193,6 @@
 			c.giveUp(m, now, "failed")
 		case m.State == fleet.Silent && (!cutOff || now.Sub(m.Since) > 3*lease):
 			c.giveUp(m, now, "silent")
-		case m.State == fleet.Booting && m.LiveCount() > 0 && now.Sub(c.steady) > 2*lease && !cutOff:
-			c.giveUp(m, now, "has tasks by the records, but does not report")
 		case m.State == fleet.Booting && m.LiveCount() == 0:
 			boot := 60.0
 			if r := c.rig(m.Rig); r != nil {
--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -31,7 +31,7 @@
 	defer c.mu.Unlock()
 	now := c.now()
 	c.hear(now)
-	c.fleet.Silence(now, c.Config.Lease())
+	c.fleet.Silence(now)
 	c.condemn(now)
 	if c.cat == nil {
 		return nil
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -103,6 +103,12 @@
 func (e *Elector) Saw(term uint64, leader string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if term == e.view.Term && e.view.Leader == "" && e.stop == nil {
+		// A worker's token told the term before the leader itself did. A node
+		// that cannot read the state service would otherwise never learn the
+		// name, and keep workers that it should send on.
+		e.view.Leader = leader
+	}
 	if term <= e.view.Term {
 		return
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -323,10 +323,14 @@
 	}
 }
 
-// Silence marks machines that nobody has heard for longer than limit.
-func (f *Fleet) Silence(now time.Time, limit time.Duration) {
+// Silence marks machines that nobody has heard for longer than a lease. Those
+// that are only known to have tasks by the records get half as long again to
+// find the new leader.
+func (f *Fleet) Silence(now time.Time) {
 	for _, m := range f.machines {
-		if (m.State == Ready || m.State == Confirming) && now.Sub(m.Heard) > limit {
+		quiet := now.Sub(m.Heard)
+		if (m.State == Ready || m.State == Confirming) && quiet > f.lease ||
+			m.State == Booting && m.live > 0 && quiet > f.lease*3/2 {
 			f.set(m, Silent, now, "not heard")
 		}
 	}
