Cheapest room first; batch waits for spot machines before it rents others

Nodes are now ordered by what a task's share costs; work that may use spot machines leaves machines alone that would otherwise be returned, and rents ordinary ones only after waiting as long as one boots.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -75,6 +75,7 @@
 	returns returner
 	arrive  map[string]*arrivals
 	told    map[string]time.Time // announcements
+	kept    map[string]bool      // machines kept as spare room by the last round
 	last    RoundInfo
 	steady  time.Time
 }
@@ -241,6 +242,7 @@
 		}
 	case j == nil:
 		c.jobs[uid] = newJob(uid, e, now)
+		slog.Info("job", "uid", uid, "berth", e.Job.Spec.Berth, "legs", e.Job.Spec.Legs, "gpus", e.Job.Spec.Gpus, "image", e.Job.Spec.Rollout, "status", string(e.Job.Status))
 		c.arrived(c.jobs[uid], now)
 	case e.Stamp > j.stamp:
 		wasFinal := j.rec.Status.Final()
--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math"
+	"slices"
 	"time"
 
 	"lotusstile.dev/lotusstile/internal/fleet"
@@ -141,20 +142,26 @@
 			continue // a zone that a task may be in is not known yet
 		}
 		top = max(top, j.level)
-		in.Jobs = append(in.Jobs, &sched.Job{Spec: &j.rec.Spec, Level: j.level, AtMs: j.rec.AtMs, Waiting: w,
-			Live: j.live, ByYard: byYard, WaitedS: now.Sub(j.waitFrom).Seconds()})
+		sj := &sched.Job{Spec: &j.rec.Spec, Level: j.level, AtMs: j.rec.AtMs, Waiting: w,
+			Live: j.live, ByYard: byYard, WaitedS: now.Sub(j.waitFrom).Seconds(), Fetch: c.fetchIsLate(&j.rec.Spec)}
+		sj.Overdue = sj.WaitedS > c.bootS(&j.rec.Spec)
+		in.Jobs = append(in.Jobs, sj)
 	}
 	var machines []*fleet.Machine
 	var victims []*fleet.Attempt
 	c.fleet.Each(func(m *fleet.Machine) {
-		n := sched.Node{ID: m.ID, Rig: m.Rig, Yard: m.Yard, Standby: m.Standby, Cap: m.Cap}
+		n := sched.Node{ID: m.ID, Rig: m.Rig, Yard: m.Yard, Standby: m.Standby, Cap: m.Cap, Price: c.price(m.Rig, m.Standby)}
 		switch {
 		case m.Takes(now) && m.Strays() == 0:
 			n.Free, n.Soon = m.Free(), m.Free()
+			n.Leaving = !m.Standby && !c.kept[m.ID]
 			m.Each(func(a *fleet.Attempt) {
 				if !a.Live() {
 					return
 				}
+				if j := c.jobs[a.Uid]; j != nil && !j.rec.Spec.Standby {
+					n.Leaving = false // it stays for this one anyway
+				}
 				if a.Stopping || a.State == fleet.Saving {
 					n.Soon = n.Soon.Add(a.Need)
 					return
@@ -194,13 +201,54 @@
 		rig := c.rig(r.req.Rig)
 		for range r.req.HowMany {
 			in.Nodes = append(in.Nodes, sched.Node{ID: r.req.Booking, Rig: r.req.Rig, Yard: r.req.Yard, Standby: r.req.Standby,
-				Cap: provision.Cap(rig), Later: provision.Cap(rig)})
+				Cap: provision.Cap(rig), Later: provision.Cap(rig), Price: c.price(r.req.Rig, r.req.Standby)})
 			machines = append(machines, nil)
 		}
 	}
 	return in, machines, victims
 }
 
+// price is what a machine costs per hour.
+func (c *Controller) price(sku string, standby bool) float64 {
+	r := c.rig(sku)
+	switch {
+	case r == nil:
+		return 0
+	case standby:
+		return r.LowPrice
+	}
+	return r.Hourly
+}
+
+// bootS is how long the quickest machine that may run a task of the job boots.
+func (c *Controller) bootS(w *wire.Work) float64 {
+	boot := math.Inf(1)
+	for i := range c.cat.Rigs {
+		if r := &c.cat.Rigs[i]; provision.Cap(r).Holds(fleet.Need(w)) && (len(w.Rigs) == 0 || slices.Contains(w.Rigs, r.Sku)) {
+			boot = min(boot, r.BootS)
+		}
+	}
+	return boot
+}
+
+// fetchIsLate reports whether the fetch of a job's image takes so long, by the
+// rate that the catalog gives, that a start on a machine without it would miss
+// the time that the users set for the job's class.
+func (c *Controller) fetchIsLate(w *wire.Work) bool {
+	for _, o := range c.Config.Cluster.Objectives {
+		if o.Kind != "wait" || o.Class != w.Berth {
+			continue
+		}
+		for i := range c.cat.Rigs {
+			r := &c.cat.Rigs[i]
+			if provision.Cap(r).Holds(fleet.Need(w)) && r.PullGbPerS > 0 && w.ImageGb/r.PullGbPerS+c.Config.Cluster.Workers.ReportS > o.WithinS {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // comes reports whether a machine is expected to take launches soon. One that
 // boots for much longer than usual is no longer counted on.
 func (c *Controller) comes(m *fleet.Machine, now time.Time) bool {
@@ -245,25 +293,18 @@
 func (c *Controller) spare(now time.Time) []*sched.Job {
 	var jobs []*sched.Job
 	factor := c.Settings().Spare
-	for class, a := range c.arrive {
+	for _, a := range c.arrive {
 		if a.level < wire.High.Level() || factor == 0 {
 			continue
 		}
 		span := now.Sub(a.at).Seconds()
 		perS := float64(a.counted) / max(span, 30)
-		boot := 0.0
-		for i := range c.cat.Rigs {
-			if r := &c.cat.Rigs[i]; provision.Cap(r).Holds(fleet.Need(a.spec)) && (boot == 0 || r.BootS < boot) {
-				boot = r.BootS
-			}
-		}
-		n := int(math.Ceil(factor * float64(provision.Spare(perS, a.legs, boot))))
+		n := int(math.Ceil(factor * float64(provision.Spare(perS, a.legs, c.bootS(a.spec)))))
 		for i := range n {
 			spec := *a.spec
 			spec.Uid, spec.Legs, spec.Shape, spec.Together, spec.Scatter = "", 1, wire.Sweep, false, false
 			jobs = append(jobs, &sched.Job{Spec: &spec, Level: a.level, AtMs: int64(i), Waiting: 1, ByYard: map[string]int{}})
 		}
-		_ = class
 	}
 	return jobs
 }
@@ -276,6 +317,7 @@
 		spareIn.Teams[name] = &sched.Team{}
 	}
 	kept := map[string]bool{}
+	c.kept = kept
 	for i, n := range in.Nodes {
 		n.Free, n.Soon, n.Later = plan.LeftSoon[i], plan.LeftSoon[i], plan.LeftLater[i]
 		n.Images, n.Avoid = nil, nil
--- a/internal/provision/provision.go
+++ b/internal/provision/provision.go
@@ -130,6 +130,9 @@
 				if !sched.Allowed(j.Spec, r.Sku, y, standby) || refused(g) {
 					continue
 				}
+				if j.Spec.Standby && !standby && !j.Overdue {
+					continue // spot machines are many times cheaper: worth a wait
+				}
 				price := r.Hourly
 				if standby {
 					price = r.LowPrice
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -28,6 +28,8 @@
 	Later   fleet.Res // usable once it is up
 	Images  func(image string) bool
 	Victims []Victim // running work that may be stopped
+	Price   float64  // per hour; 0 if unknown
+	Leaving bool     // will be returned unless work that may not use spot machines needs it
 	Avoid   func(uid string) bool
 }
 
@@ -48,6 +50,8 @@
 	Live    int            // attempts that are not provably off
 	ByYard  map[string]int // the same by zone
 	WaitedS float64
+	Fetch   bool // the fetch of its image alone would make a start late
+	Overdue bool // waited so long that dearer machines are worth it
 }
 
 // Team is what a team uses and may use; a limit of 0 is none.
@@ -211,6 +215,7 @@
 	node  int
 	count int
 	image bool
+	price float64
 	spare float64
 }
 
@@ -278,13 +283,28 @@
 
 func (r *round) usable(j *Job, i int, yard string) bool {
 	n := &r.in.Nodes[i]
+	if n.Leaving && j.Spec.Standby && !j.Overdue {
+		return false
+	}
 	return !r.reserved[i] && (yard == "" || n.Yard == yard) &&
 		Allowed(j.Spec, n.Rig, n.Yard, n.Standby) && (n.Avoid == nil || !n.Avoid(j.Spec.Uid))
 }
 
-// choose picks nodes for up to want tasks: those that have the image first,
-// then those that need the fewest machines, then the tightest fit. CPU-only
-// work goes where the fewest GPUs are free.
+// taskPrice is what a task's share of the machine costs.
+func taskPrice(n *Node, need fleet.Res) float64 {
+	share := 0.0
+	for _, p := range [...][2]float64{{need.Cores, n.Cap.Cores}, {need.Gpus, n.Cap.Gpus}, {need.Ram, n.Cap.Ram}} {
+		if p[1] > 0 {
+			share = max(share, p[0]/p[1])
+		}
+	}
+	return n.Price * share
+}
+
+// choose picks nodes for up to want tasks: the cheapest for the task first,
+// then those that have the image, then those that need the fewest machines,
+// then the tightest fit. The image goes first where its fetch alone would make
+// the start late. CPU-only work goes where the fewest GPUs are free.
 func (r *round) choose(j *Job, want int, l layer, yard string) []Place {
 	need := fleet.Need(j.Spec)
 	var opts []option
@@ -302,17 +322,15 @@
 		if need.Gpus == 0 {
 			spare = free.Gpus
 		}
-		opts = append(opts, option{i, c, n.Images != nil && n.Images(j.Spec.Rollout), spare})
+		opts = append(opts, option{i, c, n.Images != nil && n.Images(j.Spec.Rollout), taskPrice(n, need), spare})
 	}
 	slices.SortFunc(opts, func(a, b option) int {
 		na, nb := &r.in.Nodes[a.node], &r.in.Nodes[b.node]
-		if c := cmp.Compare(b2i(nb.Standby), b2i(na.Standby)); c != 0 {
-			return c // work that may use spot machines leaves the others free
-		}
-		if c := cmp.Compare(b2i(b.image), b2i(a.image)); c != 0 {
-			return c
+		price, image := cmp.Compare(a.price, b.price), cmp.Compare(b2i(b.image), b2i(a.image))
+		if j.Fetch {
+			price, image = image, price
 		}
-		return cmp.Or(cmp.Compare(b.count, a.count), cmp.Compare(a.spare, b.spare), cmp.Compare(na.ID, nb.ID))
+		return cmp.Or(price, image, cmp.Compare(b.count, a.count), cmp.Compare(a.spare, b.spare), cmp.Compare(na.ID, nb.ID))
 	})
 	var places []Place
 	taken := map[string]int{}
