--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -59,6 +59,7 @@
 	Deps
 	term uint64
 	wake chan struct{} // the writer has work
+	news chan struct{} // a job came
 	now  func() time.Time
 
 	mu      sync.Mutex
@@ -96,7 +97,7 @@
 
 // New makes the controller of a term.
 func New(d Deps, term uint64) *Controller {
-	c := &Controller{Deps: d, term: term, wake: make(chan struct{}, 1), now: time.Now,
+	c := &Controller{Deps: d, term: term, wake: make(chan struct{}, 1), news: make(chan struct{}, 1), now: time.Now,
 		jobs: map[string]*job{}, pending: map[string]*rental{}, refused: map[provision.Group]refusal{},
 		arrive: map[string]*arrivals{}, told: map[string]time.Time{}}
 	c.fleet = fleet.New(term, d.Config.Lease(), c)
@@ -244,6 +245,10 @@
 		c.jobs[uid] = newJob(uid, e, now)
 		slog.Info("job", "uid", uid, "berth", e.Job.Spec.Berth, "legs", e.Job.Spec.Legs, "gpus", e.Job.Spec.Gpus, "image", e.Job.Spec.Rollout, "status", string(e.Job.Status))
 		c.arrived(c.jobs[uid], now)
+		select {
+		case c.news <- struct{}{}:
+		default:
+		}
 	case e.Stamp > j.stamp:
 		wasFinal := j.rec.Status.Final()
 		j.rec, j.stamp = e.Job, e.Stamp
--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -17,8 +17,16 @@
 func (c *Controller) rounds(ctx context.Context) {
 	for {
 		interval := time.Duration(c.Settings().IntervalS * float64(time.Second))
-		if !sleep(ctx, interval) {
+		select {
+		case <-ctx.Done():
 			return
+		case <-time.After(interval):
+		case <-c.news:
+			// A job came: it need not wait for the interval to pass, only long
+			// enough for others that come with it.
+			if !sleep(ctx, interval/8) {
+				return
+			}
 		}
 		for _, r := range c.round(interval) {
 			go c.rent(ctx, r)
@@ -57,11 +65,11 @@
 	c.window = min(c.window, most)
 	info.Started = c.start(plan, machines, now)
 	info.Stopped = len(plan.Stops)
-	for _, id := range plan.Stops {
-		a := victims[id]
+	for _, s := range plan.Stops {
+		a := victims[s.ID]
 		leeway := 0.0
-		if s := c.jobs[a.Uid].rec.Spec; s.MarkS > 0 {
-			leeway = s.StowS + c.Config.Cluster.Workers.ReportS
+		if v := c.jobs[a.Uid].rec.Spec; v.MarkS > 0 && v.StowS < s.SlackS {
+			leeway = v.StowS + c.Config.Cluster.Workers.ReportS
 		}
 		slog.Info("preempted", "leg", a.Name(), "host", a.Machine.ID)
 		c.fleet.StopAttempt(a, leeway, now, "preempted")
@@ -143,7 +151,8 @@
 		}
 		top = max(top, j.level)
 		sj := &sched.Job{Spec: &j.rec.Spec, Level: j.level, AtMs: j.rec.AtMs, Waiting: w,
-			Live: j.live, ByYard: byYard, WaitedS: now.Sub(j.waitFrom).Seconds(), Fetch: c.fetchIsLate(&j.rec.Spec)}
+			Live: j.live, ByYard: byYard, WaitedS: now.Sub(j.waitFrom).Seconds(), SlackS: c.slackS(&j.rec.Spec)}
+		sj.Fetch = sj.SlackS < 0
 		sj.Overdue = sj.WaitedS > c.bootS(&j.rec.Spec)
 		in.Jobs = append(in.Jobs, sj)
 	}
@@ -160,7 +169,7 @@
 					return
 				}
 				if j := c.jobs[a.Uid]; j != nil && !j.rec.Spec.Standby {
-					n.Leaving = false // it stays for this one anyway
+					n.Leaving, n.Fixed = false, true
 				}
 				if a.Stopping || a.State == fleet.Saving {
 					n.Soon = n.Soon.Add(a.Need)
@@ -180,7 +189,12 @@
 			})
 			n.Later = n.Soon
 			coming := map[string]bool{}
-			m.Each(func(a *fleet.Attempt) { coming[a.Image] = true })
+			m.Each(func(a *fleet.Attempt) {
+				if _, seen := m.Images[a.Image]; a.Live() && !seen && !coming[a.Image] {
+					coming[a.Image] = true
+					n.Pulling++
+				}
+			})
 			n.Images = func(image string) bool {
 				_, seen := m.Images[image]
 				return seen || coming[image]
@@ -231,22 +245,23 @@
 	return boot
 }
 
-// fetchIsLate reports whether the fetch of a job's image takes so long, by the
-// rate that the catalog gives, that a start on a machine without it would miss
-// the time that the users set for the job's class.
-func (c *Controller) fetchIsLate(w *wire.Work) bool {
+// slackS is how long after a launch is decided a start is still within the time
+// that the users set for the job's class, if the machine must fetch the image
+// first. The rate that the catalog gives is met give or take a third.
+func (c *Controller) slackS(w *wire.Work) float64 {
+	slack := math.Inf(1)
 	for _, o := range c.Config.Cluster.Objectives {
 		if o.Kind != "wait" || o.Class != w.Berth {
 			continue
 		}
 		for i := range c.cat.Rigs {
 			r := &c.cat.Rigs[i]
-			if provision.Cap(r).Holds(fleet.Need(w)) && r.PullGbPerS > 0 && w.ImageGb/r.PullGbPerS+c.Config.Cluster.Workers.ReportS > o.WithinS {
-				return true
+			if provision.Cap(r).Holds(fleet.Need(w)) && r.PullGbPerS > 0 {
+				slack = min(slack, o.WithinS-w.ImageGb/r.PullGbPerS*4/3-c.Config.Cluster.Workers.ReportS)
 			}
 		}
 	}
-	return false
+	return slack
 }
 
 // comes reports whether a machine is expected to take launches soon. One that
@@ -303,7 +318,7 @@
 		for i := range n {
 			spec := *a.spec
 			spec.Uid, spec.Legs, spec.Shape, spec.Together, spec.Scatter = "", 1, wire.Sweep, false, false
-			jobs = append(jobs, &sched.Job{Spec: &spec, Level: a.level, AtMs: int64(i), Waiting: 1, ByYard: map[string]int{}})
+			jobs = append(jobs, &sched.Job{Spec: &spec, Level: a.level, AtMs: int64(i), Waiting: 1, ByYard: map[string]int{}, Fetch: c.slackS(a.spec) < 0})
 		}
 	}
 	return jobs
@@ -320,7 +335,7 @@
 	c.kept = kept
 	for i, n := range in.Nodes {
 		n.Free, n.Soon, n.Later = plan.LeftSoon[i], plan.LeftSoon[i], plan.LeftLater[i]
-		n.Images, n.Avoid = nil, nil
+		n.Avoid = nil
 		spareIn.Nodes = append(spareIn.Nodes, n)
 	}
 	spare := sched.Run(spareIn)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -30,6 +30,8 @@
 	Victims []Victim // running work that may be stopped
 	Price   float64  // per hour; 0 if unknown
 	Leaving bool     // will be returned unless work that may not use spot machines needs it
+	Fixed   bool     // stays for work that may not use spot machines
+	Pulling int      // images it fetches now; they share its rate
 	Avoid   func(uid string) bool
 }
 
@@ -50,8 +52,9 @@
 	Live    int            // attempts that are not provably off
 	ByYard  map[string]int // the same by zone
 	WaitedS float64
-	Fetch   bool // the fetch of its image alone would make a start late
-	Overdue bool // waited so long that dearer machines are worth it
+	Fetch   bool    // the fetch of its image may make a start late
+	SlackS  float64 // what is left of the time to start after fetch and delivery
+	Overdue bool    // waited so long that dearer machines are worth it
 }
 
 // Team is what a team uses and may use; a limit of 0 is none.
@@ -76,6 +79,12 @@
 	Count int
 }
 
+// Stop is a victim and how long the job that displaces it can wait for it.
+type Stop struct {
+	ID     int
+	SlackS float64
+}
+
 // Short is demand that no machine, present or booting, has room for.
 type Short struct {
 	Job   *Job
@@ -85,7 +94,7 @@
 // Plan is the outcome of a round.
 type Plan struct {
 	Places    []Place
-	Stops     []int // victims, by handle
+	Stops     []Stop
 	Shorts    []Short
 	Objective float64
 	Window    int // jobs looked at
@@ -121,6 +130,7 @@
 	room     [layers][]fleet.Res
 	stopped  map[int]bool
 	reserved []bool // nodes kept for the job that has a reservation
+	warm     bool   // only nodes that have the job's image
 }
 
 // Run does one round.
@@ -162,8 +172,24 @@
 	if want == 0 {
 		return
 	}
-	left := want - r.fit(j, want, now, true)
-	if left == 0 {
+	left := want
+	if j.Fetch {
+		// Its start would be late on a machine without its image: machines
+		// that have it come first, even if lesser work must leave them.
+		r.warm = true
+		left -= r.fit(j, left, now, true)
+		if left > 0 {
+			left -= r.fit(j, left, soon, false)
+		}
+		if left > 0 {
+			left -= r.preempt(j, left)
+		}
+		r.warm = false
+		if left == 0 {
+			return
+		}
+	}
+	if left -= r.fit(j, left, now, true); left == 0 {
 		return
 	}
 	if left -= r.fit(j, left, soon, false); left == 0 {
@@ -283,7 +309,7 @@
 
 func (r *round) usable(j *Job, i int, yard string) bool {
 	n := &r.in.Nodes[i]
-	if n.Leaving && j.Spec.Standby && !j.Overdue {
+	if n.Leaving && j.Spec.Standby && !j.Overdue || r.warm && (n.Images == nil || !n.Images(j.Spec.Rollout)) {
 		return false
 	}
 	return !r.reserved[i] && (yard == "" || n.Yard == yard) &&
@@ -301,6 +327,15 @@
 	return n.Price * share
 }
 
+// price is what placing a task there costs: nothing for work that may be stopped
+// and fills the gaps of a machine that stays anyway.
+func (r *round) price(j *Job, n *Node) float64 {
+	if j.Spec.Standby && n.Fixed {
+		return 0
+	}
+	return taskPrice(n, fleet.Need(j.Spec))
+}
+
 // choose picks nodes for up to want tasks: the cheapest for the task first,
 // then those that have the image, then those that need the fewest machines,
 // then the tightest fit. The image goes first where its fetch alone would make
@@ -322,7 +357,7 @@
 		if need.Gpus == 0 {
 			spare = free.Gpus
 		}
-		opts = append(opts, option{i, c, n.Images != nil && n.Images(j.Spec.Rollout), taskPrice(n, need), spare})
+		opts = append(opts, option{i, c, n.Images != nil && n.Images(j.Spec.Rollout), r.price(j, n), spare})
 	}
 	slices.SortFunc(opts, func(a, b option) int {
 		na, nb := &r.in.Nodes[a.node], &r.in.Nodes[b.node]
@@ -330,7 +365,11 @@
 		if j.Fetch {
 			price, image = image, price
 		}
-		return cmp.Or(price, image, cmp.Compare(b.count, a.count), cmp.Compare(a.spare, b.spare), cmp.Compare(na.ID, nb.ID))
+		pulls := 0
+		if image == 0 && !a.image {
+			pulls = cmp.Compare(na.Pulling, nb.Pulling)
+		}
+		return cmp.Or(price, image, pulls, cmp.Compare(b.count, a.count), cmp.Compare(a.spare, b.spare), cmp.Compare(na.ID, nb.ID))
 	})
 	var places []Place
 	taken := map[string]int{}
@@ -453,8 +492,8 @@
 	}
 	for _, id := range stops {
 		r.stopped[id] = true
+		r.plan.Stops = append(r.plan.Stops, Stop{id, j.SlackS})
 	}
-	r.plan.Stops = append(r.plan.Stops, stops...)
 	for i := range r.in.Nodes {
 		for _, v := range r.in.Nodes[i].Victims {
 			if slices.Contains(stops, v.ID) {
