--- a/internal/api/http.go
+++ b/internal/api/http.go
@@ -350,10 +350,9 @@
 		return http.StatusMisdirectedRequest, encode(wire.Redirect{})
 	}
 	if p := n.leader(); p != nil {
-		if !n.cameBack(r.Host) {
+		if !n.relays(r.Host) {
 			return http.StatusMisdirectedRequest, encode(wire.Redirect{Dispatcher: p.Label})
 		}
-		// It was sent to the leader and came back: it cannot reach it.
 		if reply, err := p.CheckIn(body); err == nil && reply.Status == http.StatusOK {
 			return reply.Status, reply.Body
 		}
@@ -361,17 +360,34 @@
 	return n.keepLease(&r)
 }
 
-// cameBack notes that a machine is sent to the leader, unless it was sent
-// there within the last lease and has come back.
-func (n *Node) cameBack(host string) bool {
+// contact is how a follower has answered a machine.
+type contact struct {
+	relayed    time.Time // the first report was relayed
+	redirected time.Time // a later one was sent to the leader
+	until      time.Time // it came back from there: its reports are relayed till then
+}
+
+// relays decides whether a machine's report is relayed to the leader or the
+// machine is sent there. A machine that comes may have lost seconds of its
+// lease to a leader that it cannot reach, and would lose as many again: its
+// first report is relayed. If it comes back from the leader, so are the next.
+func (n *Node) relays(host string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := time.Now()
-	if at, ok := n.redirected[host]; ok && now.Sub(at) < n.cfg.Lease() {
+	now, lease := time.Now(), n.cfg.Lease()
+	c := n.contacts[host]
+	switch {
+	case now.Before(c.until):
 		return true
-	}
-	n.redirected[host] = now
-	return false
+	case now.Sub(c.redirected) < lease:
+		c.until = now.Add(3 * lease)
+	case now.Sub(c.relayed) < lease:
+		c = contact{redirected: now}
+	default:
+		c = contact{relayed: now}
+	}
+	n.contacts[host] = c
+	return c.redirected != now
 }
 
 // keepLease answers for a leader that this node cannot reach: the lease goes
--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -39,9 +39,9 @@
 	settings atomic.Pointer[stampedSettings]
 	finals   finals
 
-	mu         sync.Mutex
-	redirected map[string]time.Time // by machine: when it was last sent to the leader
-	kept       map[string]time.Time // by machine: when this node kept its lease
+	mu       sync.Mutex
+	contacts map[string]contact   // by machine: how it was answered in the leader's place
+	kept     map[string]time.Time // by machine: when this node kept its lease
 }
 
 type stampedSettings struct {
@@ -56,12 +56,12 @@
 	n := &Node{
 		cfg: cfg,
 		// Followers need little, the leader most: each may use over half.
-		store:      store.New(cfg.Services.State, st.Rps*0.6, st.WriteRps*0.6, timeout),
-		cloud:      cloud.New(cfg.Services.Cloud, cfg.Cluster.Cloud.Rps*0.7, timeout),
-		mirror:     ledger.NewMirror(),
-		peers:      peer.Peers(cfg, cfg.HoldTTL()/4),
-		redirected: map[string]time.Time{},
-		kept:       map[string]time.Time{},
+		store:    store.New(cfg.Services.State, st.Rps*0.6, st.WriteRps*0.6, timeout),
+		cloud:    cloud.New(cfg.Services.Cloud, cfg.Cluster.Cloud.Rps*0.7, timeout),
+		mirror:   ledger.NewMirror(),
+		peers:    peer.Peers(cfg, cfg.HoldTTL()/4),
+		contacts: map[string]contact{},
+		kept:     map[string]time.Time{},
 		workers: &http.Client{Timeout: cfg.ReportEvery(), Transport: &http.Transport{
 			DialContext: (&net.Dialer{Timeout: cfg.ReportEvery() / 2}).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: cfg.ReportEvery(), DisableCompression: true}},
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -76,6 +76,7 @@
 	returns returner
 	arrive  map[string]*arrivals
 	told    map[string]time.Time // announcements
+	noted   map[string]int       // how many images of a machine are recorded
 	kept    map[string]bool      // machines kept as spare room by the last round
 	last    RoundInfo
 	steady  time.Time
@@ -99,7 +100,7 @@
 func New(d Deps, term uint64) *Controller {
 	c := &Controller{Deps: d, term: term, wake: make(chan struct{}, 1), news: make(chan struct{}, 1), now: time.Now,
 		jobs: map[string]*job{}, pending: map[string]*rental{}, refused: map[provision.Group]refusal{},
-		arrive: map[string]*arrivals{}, told: map[string]time.Time{}}
+		arrive: map[string]*arrivals{}, noted: map[string]int{}, told: map[string]time.Time{}}
 	c.fleet = fleet.New(term, d.Config.Lease(), c)
 	c.returns.recs = map[string]*hostRec{}
 	c.begun = c.now()
@@ -131,7 +132,7 @@
 		}
 	}
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){c.writer, c.rounds, c.lists, c.returning, c.announcing} {
+	for _, f := range []func(context.Context){c.writer, c.rounds, c.lists, c.returning, c.announcing, c.noteImages} {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -178,6 +179,10 @@
 	if err != nil {
 		return err
 	}
+	images, _, err := c.Store.List(ctx, ledger.ImagesPrefix)
+	if err != nil {
+		return err
+	}
 	for _, row := range jobs {
 		var rec ledger.Job
 		if err := json.Unmarshal(row.Value, &rec); err != nil {
@@ -194,6 +199,19 @@
 		c.fleet.Return(m, now, "return was attempted in an earlier term")
 		c.returns.recs[id] = &hostRec{stamp: row.Stamp}
 	}
+	for _, row := range images {
+		id := strings.TrimPrefix(row.Key, ledger.ImagesPrefix)
+		var rec ledger.Images
+		if err := json.Unmarshal(row.Value, &rec); err != nil {
+			slog.Warn("images cannot be read", "host", id, "err", err)
+			continue
+		}
+		m := c.fleet.Know(id, now)
+		for _, name := range rec.Names {
+			m.Images[name] = now
+		}
+		c.noted[id] = len(rec.Names)
+	}
 	inherited := 0
 	for _, row := range pieces {
 		uid, n, ok := ledger.SplitPieceKey(row.Key)
@@ -358,6 +376,9 @@
 		delete(p.live, a.Leg)
 		j.live--
 		j.freed = append(j.freed, a.Leg)
+		if a.Cause != wire.CauseDone {
+			j.lost++
+		}
 		if j.live == 0 {
 			j.waitFrom = c.now()
 		}
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -39,6 +39,7 @@
 	waitFrom time.Time
 	avoid    map[string]time.Time // machines it failed on
 	fails    int
+	lost     int       // tasks that ended against the job's will
 	hold     time.Time // not placed before
 	unsure   bool      // the outcome of its archiving is unknown
 }
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -170,35 +171,39 @@
 
 // condemn decides which machines to return because they are lost.
 func (c *Controller) condemn(now time.Time) {
-	heard, silent := 0, 0
+	// Many machines of a zone that fall silent together are cut off rather
+	// than lost: what they run may go on, and they will be back.
+	every, lease := c.Config.ReportEvery(), c.Config.Lease()
+	total, quiet := map[string]int{}, map[string]int{}
 	c.fleet.Each(func(m *fleet.Machine) {
-		switch m.State {
-		case fleet.Ready, fleet.Confirming:
-			heard++
-		case fleet.Silent:
-			silent++
-		case fleet.Booting:
-			if m.LiveCount() > 0 {
-				silent++
-			}
+		if m.State == fleet.Returning || m.State == fleet.Gone || m.State == fleet.Booting && m.LiveCount() == 0 {
+			return
+		}
+		total[m.Yard]++
+		if now.Sub(m.Heard) > 4*every {
+			quiet[m.Yard]++
 		}
 	})
-	// If most machines are silent, it is rather this node that is cut off.
-	cutOff := silent > heard
-	lease := c.Config.Lease()
+	cutOff := func(m *fleet.Machine) bool { return quiet[m.Yard] > 2 && 2*quiet[m.Yard] > total[m.Yard] }
+	settled := now.Sub(c.steady) > 2*lease
 	c.fleet.Each(func(m *fleet.Machine) {
 		switch {
 		case m.State == fleet.Returning || m.State == fleet.Gone:
 		case m.Failed:
 			c.giveUp(m, now, "failed")
-		case m.State == fleet.Silent && (!cutOff || now.Sub(m.Since) > 3*lease):
+		case m.State == fleet.Silent && (!cutOff(m) || now.Sub(m.Heard) > 6*lease):
 			c.giveUp(m, now, "silent")
+		case m.State == fleet.Ready && settled && now.Sub(m.Heard) > 4*every && quiet[m.Yard] <= max(1, total[m.Yard]/8):
+			// A few machines fall silent while all others go on: they have
+			// stopped, hang or are cut off, and by the time they come back
+			// their leases have ended. Waiting would only cost time.
+			c.giveUp(m, now, "silent while others report")
 		case m.State == fleet.Booting && m.LiveCount() == 0:
 			boot := 60.0
 			if r := c.rig(m.Rig); r != nil {
 				boot = r.BootS
 			}
-			if now.Sub(m.Born).Seconds() > 3.5*boot && now.Sub(c.steady) > 2*lease {
+			if now.Sub(m.Born).Seconds() > 3.5*boot && settled {
 				c.giveUp(m, now, "never came up")
 			}
 		case m.Warned && m.LiveCount() == 0 && m.State == fleet.Ready:
@@ -279,6 +284,34 @@
 	}
 }
 
+// noteImages records which images machines have, so that a new leader knows
+// where starts are quick. It loses nothing but time if it is late or fails.
+func (c *Controller) noteImages(ctx context.Context) {
+	for sleep(ctx, c.Config.ReportEvery()) {
+		c.mu.Lock()
+		tx := wire.Commit{Guards: []wire.Guard{{Key: ledger.LeaderKey, Stamp: c.term}}}
+		noted := map[string]int{}
+		c.fleet.Each(func(m *fleet.Machine) {
+			if m.State == fleet.Ready && len(m.Images) > c.noted[m.ID] && len(tx.Apply) < c.Config.Cluster.State.TxnOps/2 {
+				noted[m.ID] = len(m.Images)
+				names := slices.Sorted(maps.Keys(m.Images))
+				tx.Apply = append(tx.Apply, wire.Change{Set: ledger.ImagesKey(m.ID), Value: ledger.Encode(ledger.Images{Names: names[:min(len(names), 16)]})})
+			}
+		})
+		c.mu.Unlock()
+		if len(tx.Apply) == 0 {
+			continue
+		}
+		if _, err := c.Store.Commit(ctx, tx); err != nil {
+			c.checkDeposed(err)
+			continue
+		}
+		c.mu.Lock()
+		maps.Copy(c.noted, noted)
+		c.mu.Unlock()
+	}
+}
+
 // checkDeposed ends the term if a commit failed because of the leader's key.
 func (c *Controller) checkDeposed(err error) {
 	var conflict *store.ConflictError
@@ -312,10 +345,13 @@
 			ids = append(ids, id)
 		}
 	}
-	ids = ids[:min(len(ids), c.Config.Cluster.State.TxnOps)]
+	ids = ids[:min(len(ids), c.Config.Cluster.State.TxnOps/2)]
 	tx := wire.Commit{Guards: []wire.Guard{{Key: ledger.LeaderKey, Stamp: c.term}}}
 	for _, id := range ids {
 		tx.Apply = append(tx.Apply, wire.Change{Drop: ledger.HostKey(id)})
+		if c.noted[id] > 0 {
+			tx.Apply = append(tx.Apply, wire.Change{Drop: ledger.ImagesKey(id)})
+		}
 	}
 	c.mu.Unlock()
 	if len(ids) == 0 {
@@ -330,6 +366,7 @@
 	defer c.mu.Unlock()
 	for _, id := range ids {
 		delete(c.returns.recs, id)
+		delete(c.noted, id)
 		c.fleet.Forget(id)
 	}
 }
--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -152,7 +152,8 @@
 		top = max(top, j.level)
 		sj := &sched.Job{Spec: &j.rec.Spec, Level: j.level, AtMs: j.rec.AtMs, Waiting: w,
 			Live: j.live, ByYard: byYard, WaitedS: now.Sub(j.waitFrom).Seconds(), SlackS: c.slackS(&j.rec.Spec)}
-		sj.Fetch = sj.SlackS < 0
+		// What a service has lost is down until it has its image again.
+		sj.Fetch = sj.SlackS < 0 || j.lost > 0 && j.rec.Spec.Shape == wire.Standing
 		sj.Overdue = sj.WaitedS > c.bootS(&j.rec.Spec)
 		in.Jobs = append(in.Jobs, sj)
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -7,6 +7,7 @@
 //	p/<uid>/<n>   piece n of a job's placement
 //	f/<uid>       the final status of an archived job, kept for ever
 //	h/<host>      a machine whose return has been attempted
+//	i/<host>      the images a machine has, as far as was seen
 //	o/settings    the operators' own settings
 package ledger
 
@@ -28,6 +29,7 @@
 	PiecePrefix    = "p/"
 	FinalPrefix    = "f/"
 	HostPrefix     = "h/"
+	ImagesPrefix   = "i/"
 	SettingsPrefix = "o/"
 	SettingsKey    = "o/settings"
 )
@@ -50,6 +52,9 @@
 // and its return is repeated until the cloud confirms it.
 type Host struct{ Returning bool }
 
+// Images lists images that were seen on a machine. It only guides placement.
+type Images struct{ Names []string }
+
 // Placed is an attempt that was decided and is not yet recorded as ended.
 type Placed struct {
 	Leg   int    `json:"L"`
@@ -82,6 +87,9 @@
 // HostKey is the key of a machine's record.
 func HostKey(host string) string { return HostPrefix + host }
 
+// ImagesKey is the key of a machine's images.
+func ImagesKey(host string) string { return ImagesPrefix + host }
+
 // PieceKey is the key of a piece of a job's placement.
 func PieceKey(uid string, n int) string { return fmt.Sprintf("%s%s/%06d", PiecePrefix, uid, n) }
 
