--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -97,20 +97,24 @@
 	return max(0, j.rec.Spec.Legs-j.done-j.live)
 }
 
-// pick takes up to n tasks that wait.
+// pick takes up to n tasks that wait. A task may be known twice as waiting, by
+// having been freed and by not having been reached yet: it is taken once.
 func (j *job) pick(n int) []int {
-	var legs []int
+	legs := make([]int, 0, min(n, j.waiting()))
+	taken := map[int]bool{}
+	take := func(leg int) {
+		if !taken[leg] && !j.isDone(leg) && j.attempt(leg) == nil {
+			taken[leg] = true
+			legs = append(legs, leg)
+		}
+	}
 	for len(legs) < n && len(j.freed) > 0 {
 		leg := j.freed[len(j.freed)-1]
 		j.freed = j.freed[:len(j.freed)-1]
-		if !j.isDone(leg) && j.attempt(leg) == nil {
-			legs = append(legs, leg)
-		}
+		take(leg)
 	}
 	for ; len(legs) < n && j.cursor < j.rec.Spec.Legs; j.cursor++ {
-		if !j.isDone(j.cursor) && j.attempt(j.cursor) == nil {
-			legs = append(legs, j.cursor)
-		}
+		take(j.cursor)
 	}
 	return legs
 }
--- /dev/null
+++ b/internal/controller/job_test.go
@@ -0,0 +1,70 @@
+package controller
+
+import (
+	"flag"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// The same inputs every run; -rapid.seed draws others.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+// Tasks that wait are picked once each, and all of them. A new leader once
+// picked tasks twice that an earlier term had placed and that were off again:
+// they were on the list of freed tasks and also ahead of the cursor. The
+// second attempt hid the first, which held its room for ever.
+func TestPickTakesEachWaitingTaskOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		legs := rapid.IntRange(1, 40).Draw(t, "legs")
+		j := newJob("run-000001", ledger.Entry{Job: &ledger.Job{Spec: wire.Work{Legs: legs}, Status: wire.JobQueued, Per: 7}, Stamp: 1}, time.Now())
+		waiting := map[int]bool{}
+		for leg := range legs {
+			waiting[leg] = true
+		}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			leg := rapid.IntRange(0, legs-1).Draw(t, "leg")
+			p := j.piece(leg)
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0: // an attempt from a record, or one that ended
+				if p.live[leg] == nil && waiting[leg] {
+					p.live[leg] = &fleet.Attempt{}
+					j.live++
+					delete(waiting, leg)
+				} else if p.live[leg] != nil {
+					delete(p.live, leg)
+					j.live--
+					j.freed = append(j.freed, leg)
+					waiting[leg] = true
+				}
+			case 1:
+				if p.live[leg] == nil && waiting[leg] {
+					p.done.SetDone(leg % 7)
+					j.done++
+					delete(waiting, leg)
+				}
+			case 2:
+				n := rapid.IntRange(0, legs).Draw(t, "n")
+				got := j.pick(n)
+				if want := min(n, len(waiting)); len(got) != want {
+					t.Fatalf("picked %v of %d waiting, want %d", got, len(waiting), want)
+				}
+				slices.Sort(got)
+				for i, g := range got {
+					if !waiting[g] || i > 0 && got[i-1] == g {
+						t.Fatalf("picked %v; %d", got, g)
+					}
+					j.piece(g).live[g] = &fleet.Attempt{}
+					j.live++
+					delete(waiting, g)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,227 @@
+package fleet
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// The same inputs every run; -rapid.seed draws others.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+type nobody struct{}
+
+func (nobody) MachineChanged(*Machine, MachineState, string) {}
+func (nobody) AttemptChanged(*Attempt, AttemptState, string) {}
+
+const lease = 10 * time.Second
+
+func report(shift, tick, baton uint64, legs ...wire.LegReport) *wire.Report {
+	return &wire.Report{Host: "m-1", Address: "x", Rig: "g8", Yard: "a", Shift: shift, Tick: tick, Baton: baton, Legs: legs}
+}
+
+func running(leg string, try uint64) wire.LegReport {
+	return wire.LegReport{Leg: leg, Try: try, Status: wire.LegRunning}
+}
+
+// An attempt of an earlier term is off its machine only once a report with
+// this term's token lacks it: an earlier leader's launch may still be under way.
+func TestInheritedAttemptNeedsThisTermsToken(t *testing.T) {
+	now := time.Now()
+	f := New(5, lease, nobody{})
+	m := f.Know("m-1", now)
+	a := &Attempt{Uid: "run-000001", Try: 1, Shift: 1, Inherited: true}
+	f.Place(m, a, now)
+	f.Silence(now.Add(time.Hour))
+	if m.State != Silent || a.State != Committed {
+		t.Fatalf("after silence: %v, %v", m.State, a.State)
+	}
+	f.Report(report(1, 1, 4), now)
+	if a.State != Committed {
+		t.Fatalf("after a report with an old token: %v", a.State)
+	}
+	f.Report(report(1, 2, 5), now)
+	if a.State != Off {
+		t.Fatalf("after a report with the term's token: %v", a.State)
+	}
+}
+
+// A copy of an old report changes nothing and gets no orders.
+func TestOldCopiesChangeNothing(t *testing.T) {
+	now := time.Now()
+	f := New(5, lease, nobody{})
+	f.Report(report(1, 7, 5), now)
+	m := f.Get("m-1")
+	a := &Attempt{Uid: "run-000001", Try: 1}
+	f.Place(m, a, now)
+	if n := len(f.Orders(m, now, true)); n != 0 {
+		t.Fatalf("%d orders before the record is committed", n)
+	}
+	f.Commit(a, now)
+	f.Report(report(1, 8, 5), now)
+	if o := f.Orders(m, now, true); len(o) != 1 || o[0].Verb != wire.Launch || a.State != Sent {
+		t.Fatalf("orders %v, attempt %v", o, a.State)
+	}
+	f.Report(report(1, 9, 5, running(a.Name(), 1)), now)
+	if _, fresh := f.Report(report(1, 8, 5), now); fresh || a.State != Running {
+		t.Fatalf("an old copy was taken: fresh %v, attempt %v", fresh, a.State)
+	}
+	// In a new session everything of the old one is gone.
+	f.Report(report(2, 10, 5), now)
+	if a.State != Off {
+		t.Fatalf("in a new session: %v", a.State)
+	}
+	if _, fresh := f.Report(report(1, 11, 5, running(a.Name(), 1)), now); fresh {
+		t.Fatal("a report of an earlier session was taken")
+	}
+}
+
+// A machine whose return was attempted is never used again.
+func TestReturningIsForEver(t *testing.T) {
+	now := time.Now()
+	f := New(5, lease, nobody{})
+	f.Report(report(1, 1, 5), now)
+	m := f.Get("m-1")
+	m.Cap = Res{8, 8, 8}
+	if !m.Takes(now) {
+		t.Fatal("a ready machine takes nothing")
+	}
+	f.Return(m, now, "test")
+	f.Report(report(1, 2, 5), now)
+	f.Report(report(2, 3, 5), now)
+	if m.State != Returning || m.Takes(now) {
+		t.Fatalf("%v", m.State)
+	}
+	f.Confirm(m, now, "test")
+	f.Report(report(3, 4, 5), now)
+	if m.State != Gone {
+		t.Fatalf("%v", m.State)
+	}
+}
+
+// A machine that never takes its launches gets none for a while: its reports
+// arrive, but the answers do not reach it.
+func TestDeafMachineIsPassedOver(t *testing.T) {
+	now := time.Now()
+	f := New(5, lease, nobody{})
+	f.Report(report(1, 1, 5), now)
+	m := f.Get("m-1")
+	m.Cap = Res{8, 8, 8}
+	a := &Attempt{Uid: "run-000001", Try: 1}
+	f.Place(m, a, now)
+	f.Commit(a, now)
+	for tick := uint64(2); tick < 8 && a.State != Off; tick++ {
+		f.Report(report(1, tick, 5), now)
+		f.Orders(m, now, true)
+	}
+	if a.State != Off || m.Takes(now) {
+		t.Fatalf("attempt %v, takes %v", a.State, m.Takes(now))
+	}
+}
+
+// Against a model of one machine whose worker keeps to the protocol, an
+// attempt that is said to be off is not on the machine and never comes back,
+// whatever of reports, answers and orders is lost or repeated.
+func TestOffIsProof(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		f := New(5, lease, nobody{})
+		shift, tick, seen := uint64(1), uint64(0), uint64(4)
+		on := map[attemptKey]bool{} // what the worker has
+		var attempts []*Attempt
+		var copies []*wire.Report
+		var flight []wire.Order // the answer to the report in flight
+		var flightShift, flightBaton uint64
+		// One attempt may have been launched by an earlier term.
+		old := &Attempt{Uid: "run-000009", Try: 3, Shift: 1, Inherited: true}
+		f.Place(f.Know("m-1", now), old, now)
+		attempts = append(attempts, old)
+		if rapid.Bool().Draw(t, "oldIsOn") {
+			on[attemptKey{old.Name(), 3}] = true
+		}
+		oldFlight := !on[attemptKey{old.Name(), 3}] && rapid.Bool().Draw(t, "oldInFlight")
+		next := uint64(1)
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0, 1: // the worker reports; what was in flight before is dropped
+				tick++
+				r := report(shift, tick, seen)
+				for k := range on {
+					r.Legs = append(r.Legs, running(k.leg, k.try))
+				}
+				flight, flightBaton = nil, 0
+				if oldFlight && rapid.Bool().Draw(t, "oldAnswers") {
+					// This report went to the deposed leader.
+					if seen < 5 {
+						on[attemptKey{old.Name(), 3}] = true
+					}
+					oldFlight = false
+					copies = append(copies, r)
+					continue
+				}
+				copies = append(copies, r)
+				if rapid.Bool().Draw(t, "lost") {
+					continue
+				}
+				if m, fresh := f.Report(r, now); fresh {
+					flight = f.Orders(m, now, true)
+				}
+				flightShift, flightBaton = shift, 5
+			case 2: // the answer arrives
+				if flightBaton == 0 || flightShift != shift {
+					continue
+				}
+				seen = max(seen, flightBaton)
+				for _, o := range flight {
+					k := attemptKey{o.Leg, o.Try}
+					switch o.Verb {
+					case wire.Launch:
+						on[k] = true
+					case wire.Stop, wire.Reap:
+						delete(on, k)
+					}
+				}
+				flight, flightBaton = nil, 0
+			case 3: // a copy of some report arrives late
+				if len(copies) > 0 {
+					f.Report(copies[rapid.IntRange(0, len(copies)-1).Draw(t, "copy")], now)
+				}
+			case 4: // the lease ends
+				shift++
+				clear(on)
+				oldFlight = false
+			case 5: // a task is placed and recorded
+				if m := f.Get("m-1"); m.State == Ready {
+					a := &Attempt{Uid: "run-000001", Leg: int(next), Try: next}
+					next++
+					f.Place(m, a, now)
+					if rapid.Bool().Draw(t, "recorded") {
+						f.Commit(a, now)
+					}
+					attempts = append(attempts, a)
+				}
+			case 6:
+				a := attempts[rapid.IntRange(0, len(attempts)-1).Draw(t, "which")]
+				f.StopAttempt(a, 0, now, "test")
+			}
+			for _, a := range attempts {
+				k := attemptKey{a.Name(), a.Try}
+				if a.State != Off {
+					continue
+				}
+				if on[k] {
+					t.Fatalf("%s is off, but the worker has it", a.Name())
+				}
+				for _, o := range flight {
+					if o.Verb == wire.Launch && o.Leg == a.Name() && o.Try == a.Try && flightBaton != 0 {
+						t.Fatalf("%s is off, but its launch is under way", a.Name())
+					}
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/sched/sched_test.go
@@ -0,0 +1,227 @@
+package sched
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// The same inputs every run; -rapid.seed draws others.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+func genInput(t *rapid.T, maxNodes, maxJobs int) *Input {
+	in := &Input{Window: 200, ReserveS: 30, Priorities: DefaultPriorities, Teams: map[string]*Team{"crew": {}}}
+	if rapid.Bool().Draw(t, "limited") {
+		in.Teams["crew"].Limit.Gpus = float64(rapid.IntRange(1, 20).Draw(t, "limit"))
+	}
+	for i := range rapid.IntRange(1, maxNodes).Draw(t, "nodes") {
+		c := fleet.Res{Cores: float64(rapid.IntRange(1, 16).Draw(t, "cores")), Gpus: float64(rapid.IntRange(0, 4).Draw(t, "gpus")), Ram: 100}
+		in.Nodes = append(in.Nodes, Node{ID: fmt.Sprint("m", i), Rig: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "rig"),
+			Yard: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "yard"), Standby: rapid.Bool().Draw(t, "spot"), Cap: c, Free: c, Soon: c, Later: c})
+	}
+	for i := range rapid.IntRange(1, maxJobs).Draw(t, "jobs") {
+		w := &wire.Work{Uid: fmt.Sprintf("run-%06d", i), Crew: "crew", Legs: rapid.IntRange(1, 4).Draw(t, "legs"),
+			Cores: float64(rapid.IntRange(1, 8).Draw(t, "need")), Gpus: float64(rapid.IntRange(0, 2).Draw(t, "needGpus")),
+			Shape:   rapid.SampledFrom([]wire.Shape{wire.Sweep, wire.Standing}).Draw(t, "shape"),
+			Standby: rapid.Bool().Draw(t, "standby"), Together: rapid.Bool().Draw(t, "together"), Scatter: rapid.Bool().Draw(t, "scatter")}
+		if rapid.IntRange(0, 3).Draw(t, "picky") == 0 {
+			w.Rigs = []string{"x"}
+		}
+		in.Jobs = append(in.Jobs, &Job{Spec: w, Level: rapid.IntRange(1, 4).Draw(t, "level"), AtMs: int64(i), Waiting: w.Legs, ByYard: map[string]int{}})
+	}
+	return in
+}
+
+// Whatever a round plans is feasible.
+func TestPlansAreFeasible(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := genInput(t, 6, 10)
+		limit := in.Teams["crew"].Limit.Gpus
+		plan := Run(in)
+		free := make([]fleet.Res, len(in.Nodes))
+		for i := range in.Nodes {
+			free[i] = in.Nodes[i].Free
+		}
+		placed, gpus := map[string]int{}, 0.0
+		yards := map[string]map[string]int{}
+		for _, p := range plan.Places {
+			s, n := p.Job.Spec, &in.Nodes[p.Node]
+			if !Allowed(s, n.Rig, n.Yard, n.Standby) {
+				t.Fatalf("%s may not be on %s", s.Uid, n.ID)
+			}
+			for range p.Count {
+				if !free[p.Node].Holds(fleet.Need(s)) {
+					t.Fatalf("%s has no room for %s", n.ID, s.Uid)
+				}
+				free[p.Node] = free[p.Node].Sub(fleet.Need(s))
+			}
+			placed[s.Uid] += p.Count
+			gpus += float64(p.Count) * s.Gpus
+			if yards[s.Uid] == nil {
+				yards[s.Uid] = map[string]int{}
+			}
+			yards[s.Uid][n.Yard] += p.Count
+		}
+		if limit > 0 && gpus > limit {
+			t.Fatalf("the team uses %v of %v gpus", gpus, limit)
+		}
+		for _, j := range in.Jobs {
+			s := j.Spec
+			if n := placed[s.Uid]; n > s.Legs || (s.Shape == wire.Standing || s.Together) && n != 0 && n != s.Legs {
+				t.Fatalf("%s starts with %d of %d tasks", s.Uid, n, s.Legs)
+			}
+			if s.Together && len(yards[s.Uid]) > 1 {
+				t.Fatalf("%s is in zones %v", s.Uid, yards[s.Uid])
+			}
+			for _, n := range yards[s.Uid] {
+				if s.Scatter && n > (s.Legs+1)/2 {
+					t.Fatalf("%s is in zones %v", s.Uid, yards[s.Uid])
+				}
+			}
+		}
+	})
+}
+
+// best solves the paper's objective for whole jobs by trying everything.
+func best(in *Input, i int, free []fleet.Res) float64 {
+	if i == len(in.Jobs) {
+		return 0
+	}
+	top := best(in, i+1, free) // s_j = 0
+	j := in.Jobs[i]
+	need := fleet.Need(j.Spec)
+	var place func(node, left, used int)
+	place = func(node, left, used int) {
+		if left == 0 {
+			v := in.Priorities[j.Level]*(1-float64(used)/float64(2*len(in.Nodes))) + best(in, i+1, free)
+			top = max(top, v)
+			return
+		}
+		if node == len(in.Nodes) {
+			return
+		}
+		place(node+1, left, used)
+		n := &in.Nodes[node]
+		if !Allowed(j.Spec, n.Rig, n.Yard, n.Standby) {
+			return
+		}
+		was := free[node]
+		for k := 1; k <= left && free[node].Holds(need); k++ {
+			free[node] = free[node].Sub(need)
+			place(node+1, left-k, used+1)
+		}
+		free[node] = was
+	}
+	place(0, j.Spec.Legs, 0)
+	return top
+}
+
+// The greedy pass against an exhaustive solver of the objective, on small
+// cases of whole jobs. The mean gap seen is 1 to 2 %; the test allows 6 %.
+func TestGreedyIsCloseToTheObjective(t *testing.T) {
+	var got, want, worst float64
+	cases := 0
+	rapid.Check(t, func(t *rapid.T) {
+		in := genInput(t, 3, 4)
+		in.Teams["crew"].Limit.Gpus = 0
+		for _, j := range in.Jobs {
+			j.Spec.Shape, j.Spec.Together, j.Spec.Scatter, j.Spec.Legs = wire.Standing, false, false, min(j.Spec.Legs, 3)
+			j.Waiting = j.Spec.Legs
+		}
+		free := make([]fleet.Res, len(in.Nodes))
+		for i := range in.Nodes {
+			free[i] = in.Nodes[i].Free
+		}
+		b := best(in, 0, free)
+		g := Run(in).Objective
+		if g > b+1e-9 {
+			t.Fatalf("greedy %v is above the best %v", g, b)
+		}
+		got, want, cases = got+g, want+b, cases+1
+		if b > 0 {
+			worst = max(worst, 1-g/b)
+		}
+	})
+	gap := 1 - got/want
+	t.Logf("%d cases: mean gap %.2f %%, worst %.0f %%", cases, 100*gap, 100*worst)
+	if math.IsNaN(gap) || gap > 0.06 {
+		t.Errorf("mean gap is %.1f %%", 100*gap)
+	}
+}
+
+func job(uid string, level, legs int, cores, gpus float64) *Job {
+	w := &wire.Work{Uid: uid, Crew: "crew", Shape: wire.Standing, Legs: legs, Cores: cores, Gpus: gpus}
+	return &Job{Spec: w, Level: level, Waiting: legs, ByYard: map[string]int{}}
+}
+
+func node(id string, cores, gpus float64) Node {
+	r := fleet.Res{Cores: cores, Gpus: gpus, Ram: 1}
+	return Node{ID: id, Rig: "x", Yard: "a", Cap: r, Free: r, Soon: r, Later: r}
+}
+
+// The paper's first table: CPU-only work must not take the cores that keep GPU
+// work from the GPUs, even if it came first.
+func TestCpuOnlyWorkLeavesGpus(t *testing.T) {
+	in := &Input{Window: 200, ReserveS: 30, Priorities: DefaultPriorities, Teams: map[string]*Team{"crew": {}},
+		Nodes: []Node{node("m1", 8, 2), node("m2", 8, 2), node("m3", 8, 0)}}
+	in.Jobs = []*Job{job("run-000001", 2, 1, 8, 0), job("run-000002", 2, 2, 4, 2)}
+	in.Jobs[1].AtMs = 1
+	plan := Run(in)
+	if len(plan.Places) != 3 {
+		t.Fatalf("not all started: %+v", plan.Places)
+	}
+	for _, p := range plan.Places {
+		if p.Job == in.Jobs[0] && in.Nodes[p.Node].ID != "m3" {
+			t.Errorf("CPU-only work is on %s", in.Nodes[p.Node].ID)
+		}
+	}
+}
+
+// Room is made for a job only by stopping work of lower levels, and only if it
+// then fits.
+func TestPreemption(t *testing.T) {
+	in := &Input{Window: 200, ReserveS: 30, Priorities: DefaultPriorities, Teams: map[string]*Team{"crew": {}},
+		Nodes: []Node{node("m1", 8, 4)}}
+	n := &in.Nodes[0]
+	n.Free, n.Soon, n.Later = fleet.Res{}, fleet.Res{}, fleet.Res{}
+	two := fleet.Res{Cores: 4, Gpus: 2}
+	n.Victims = []Victim{{ID: 0, Level: 1, Need: two, Loss: 50}, {ID: 1, Level: 2, Need: two, Loss: 1}}
+	in.Jobs = []*Job{job("run-000001", 2, 2, 4, 2)}
+	if p := Run(in); len(p.Stops) != 0 || len(p.Shorts) != 1 {
+		t.Fatalf("work was stopped for a job that does not fit: %+v", p)
+	}
+	in.Jobs = []*Job{job("run-000001", 2, 1, 4, 2)}
+	if p := Run(in); len(p.Stops) != 1 || p.Stops[0].ID != 0 || len(p.Places) != 0 {
+		t.Fatalf("%+v", p)
+	}
+}
+
+// A top job that has waited long keeps later jobs off the machines it needs.
+func TestReservation(t *testing.T) {
+	in := &Input{Window: 200, ReserveS: 30, Priorities: DefaultPriorities, Teams: map[string]*Team{"crew": {}},
+		Nodes: []Node{node("m1", 8, 4), node("m2", 2, 1)}}
+	in.Nodes[0].Free = fleet.Res{Cores: 4, Gpus: 2, Ram: 1}
+	in.Nodes[0].Soon, in.Nodes[0].Later = in.Nodes[0].Free, in.Nodes[0].Free
+	big, small := job("run-000001", 2, 1, 8, 4), job("run-000002", 2, 3, 1, 0.5)
+	small.Spec.Shape, small.AtMs = wire.Sweep, 1
+	in.Jobs = []*Job{big, small}
+	big.WaitedS = 31
+	p := Run(in)
+	if p.Reserved != big.Spec.Uid {
+		t.Fatalf("reserved for %q", p.Reserved)
+	}
+	for _, pl := range p.Places {
+		if in.Nodes[pl.Node].ID == "m1" {
+			t.Errorf("%s took reserved room", pl.Job.Spec.Uid)
+		}
+	}
+	if len(p.Places) != 1 {
+		t.Errorf("room that the top job cannot use stays empty: %+v", p.Places)
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -281,6 +281,7 @@
 			}
 		case wire.Reap:
 			if l != nil && l.status == wire.LegEnded {
+				k.w.judgeReap(o.Leg, o.Try, k.Host)
 				delete(k.legs, key)
 			}
 		}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -88,6 +88,22 @@
 
 // judgeLaunch checks that a launch was recorded before it was sent.
 func (w *World) judgeLaunch(name string, try uint64, host string) {
+	if !w.recorded(name, try, host) {
+		w.rule("unrecorded", "%s try %d is launched on %s without a record", name, try, host)
+	}
+}
+
+// judgeReap checks that an end was recorded before the task is forgotten. What
+// is withdrawn is never launched again and needs no such record.
+func (w *World) judgeReap(name string, try uint64, host string) {
+	uid, _, _ := wire.SplitLeg(name)
+	item, ok := w.State.Get(ledger.JobKey(uid))
+	if ok && !bytes.Contains(item.Value, []byte(wire.JobAborted)) && w.recorded(name, try, host) {
+		w.rule("reaped", "%s try %d is reaped on %s, but its record says it may run", name, try, host)
+	}
+}
+
+func (w *World) recorded(name string, try uint64, host string) bool {
 	uid, n, _ := wire.SplitLeg(name)
 	for _, key := range w.State.Keys(ledger.PiecePrefix + uid + "/") {
 		item, _ := w.State.Get(key)
@@ -97,11 +113,11 @@
 		}
 		for _, p := range rec.Live {
 			if p.Leg == n && p.Try == try && p.Host == host {
-				return
+				return true
 			}
 		}
 	}
-	w.rule("unrecorded", "%s try %d is launched on %s without a record", name, try, host)
+	return false
 }
 
 // Start is called when a task has its image and begins to run on a machine.
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
 )
 
+// The same inputs every run; -rapid.seed draws others.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 func genWork(t *rapid.T) Work {
 	w := Work{
 		Uid:     "run-" + rapid.StringMatching(`[0-9]{6,9}`).Draw(t, "uid"),
