Batch by how long it can wait; tight packing; replicas displace batch, not each other

Services now go where others stay already and fit tightest, unless their image decides; batch takes ordinary machines only if it could not wait for a spot machine; within a rank the job that can wait least goes first; replicas are displaced only for a job that waited as long as a machine boots.

--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -154,7 +154,9 @@
 			Live: j.live, ByYard: byYard, WaitedS: now.Sub(j.waitFrom).Seconds(), SlackS: c.slackS(&j.rec.Spec)}
 		// What a service has lost is down until it has its image again.
 		sj.Fetch = sj.SlackS < 0 || j.lost > 0 && j.rec.Spec.Shape == wire.Standing
-		sj.Overdue = sj.WaitedS > c.bootS(&j.rec.Spec)
+		sj.LaxS = c.laxS(j, now)
+		boot := c.bootS(&j.rec.Spec)
+		sj.Overdue = sj.WaitedS > boot || sj.LaxS < boot
 		in.Jobs = append(in.Jobs, sj)
 	}
 	var machines []*fleet.Machine
@@ -165,6 +167,7 @@
 		case m.Takes(now) && m.Strays() == 0:
 			n.Free, n.Soon = m.Free(), m.Free()
 			n.Leaving = !m.Standby && !c.kept[m.ID]
+			n.Dear = c.dear(m.Rig)
 			m.Each(func(a *fleet.Attempt) {
 				if !a.Live() {
 					return
@@ -184,7 +187,7 @@
 							loss = min(loss, j.rec.Spec.StowS)
 						}
 					}
-					n.Victims = append(n.Victims, sched.Victim{ID: len(victims), Level: j.level, Need: a.Need, Loss: loss})
+					n.Victims = append(n.Victims, sched.Victim{ID: len(victims), Level: j.level, Need: a.Need, Loss: loss, Serve: j.rec.Spec.Shape == wire.Standing})
 					victims = append(victims, a)
 				}
 			})
@@ -235,6 +238,52 @@
 	return r.Hourly
 }
 
+// laxS is how long a job can still wait and be done by its deadline, or by the
+// next time that the users set for its class, if it runs half as long again as
+// its owner expects. Work without either counts as due a few boots after it
+// came, so that age decides among its like.
+func (c *Controller) laxS(j *job, now time.Time) float64 {
+	s := &j.rec.Spec
+	age := float64(now.UnixMilli()-j.rec.AtMs) / 1000
+	due := math.Inf(1)
+	if s.DueS != nil {
+		due = *s.DueS
+	}
+	for _, o := range c.Config.Cluster.Objectives {
+		if o.Kind == "finished" && o.Class == s.Berth && o.WithinS > age {
+			due = min(due, o.WithinS)
+		}
+	}
+	if math.IsInf(due, 1) || s.Shape != wire.Sweep {
+		return 4*c.bootS(s) - now.Sub(j.waitFrom).Seconds()
+	}
+	fetch := 0.0
+	for i := range c.cat.Rigs {
+		if r := &c.cat.Rigs[i]; r.PullGbPerS > 0 {
+			fetch = max(fetch, s.ImageGb/r.PullGbPerS)
+		}
+	}
+	return due - age - fetch - 1.5*s.ExpectS
+}
+
+// dear reports whether a type costs a good deal more for its room than the
+// cheapest one does.
+func (c *Controller) dear(sku string) bool {
+	unit := func(r *wire.Rig) float64 {
+		if r.Gpus > 0 {
+			return r.Hourly / r.Gpus
+		}
+		return r.Hourly / r.Cores
+	}
+	r := c.rig(sku)
+	for i := range c.cat.Rigs {
+		if o := &c.cat.Rigs[i]; r != nil && (o.Gpus > 0) == (r.Gpus > 0) && unit(r) > 1.2*unit(o) {
+			return true
+		}
+	}
+	return false
+}
+
 // bootS is how long the quickest machine that may run a task of the job boots.
 func (c *Controller) bootS(w *wire.Work) float64 {
 	boot := math.Inf(1)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -31,6 +31,7 @@
 	Price   float64  // per hour; 0 if unknown
 	Leaving bool     // will be returned unless work that may not use spot machines needs it
 	Fixed   bool     // stays for work that may not use spot machines
+	Dear    bool     // costs more for its room than other types do
 	Pulling int      // images it fetches now; they share its rate
 	Avoid   func(uid string) bool
 }
@@ -41,6 +42,7 @@
 	Level int
 	Need  fleet.Res
 	Loss  float64 // seconds of work lost if it is stopped
+	Serve bool    // a replica: stopping it is felt at once
 }
 
 // Job is a job with tasks that wait.
@@ -54,6 +56,7 @@
 	WaitedS float64
 	Fetch   bool    // the fetch of its image may make a start late
 	SlackS  float64 // what is left of the time to start after fetch and delivery
+	LaxS    float64 // how long it can still wait and be in time
 	Overdue bool    // waited so long that dearer machines are worth it
 }
 
@@ -107,10 +110,14 @@
 // rank below only when the window is small; order is kept by the pass itself.
 var DefaultPriorities = [5]float64{0, 1, 4, 16, 64}
 
-// Order sorts jobs by rank, then age, then id.
-func Order(jobs []*Job) {
+// Order sorts jobs by rank, then by how long they can still wait, then age,
+// then id. Work that cannot be in time any more lets the rest of its rank pass,
+// but not for ever.
+func Order(jobs []*Job, patienceS float64) {
+	late := func(j *Job) int { return b2i(j.LaxS < 0 && j.Spec.Shape == wire.Sweep && j.WaitedS < patienceS) }
 	slices.SortFunc(jobs, func(a, b *Job) int {
-		return cmp.Or(cmp.Compare(b.Level, a.Level), cmp.Compare(a.AtMs, b.AtMs), cmp.Compare(a.Spec.Uid, b.Spec.Uid))
+		return cmp.Or(cmp.Compare(b.Level, a.Level), cmp.Compare(late(a), late(b)), cmp.Compare(a.LaxS, b.LaxS),
+			cmp.Compare(a.AtMs, b.AtMs), cmp.Compare(a.Spec.Uid, b.Spec.Uid))
 	})
 }
 
@@ -144,7 +151,7 @@
 		r.room[now][i], r.room[soon][i], r.room[later][i] = n.Free, n.Soon, n.Later
 	}
 	window := slices.Clone(in.Jobs)
-	Order(window)
+	Order(window, 4*in.ReserveS)
 	if len(window) > in.Window {
 		window = window[:in.Window]
 	}
@@ -309,7 +316,7 @@
 
 func (r *round) usable(j *Job, i int, yard string) bool {
 	n := &r.in.Nodes[i]
-	if n.Leaving && j.Spec.Standby && !j.Overdue || r.warm && (n.Images == nil || !n.Images(j.Spec.Rollout)) {
+	if !n.Standby && j.Spec.Standby && !j.Overdue || r.warm && (n.Images == nil || !n.Images(j.Spec.Rollout)) {
 		return false
 	}
 	return !r.reserved[i] && (yard == "" || n.Yard == yard) &&
@@ -327,10 +334,11 @@
 	return n.Price * share
 }
 
-// price is what placing a task there costs: nothing for work that may be stopped
-// and fills the gaps of a machine that stays anyway.
+// price is what placing a task there costs. Work that may use spot machines
+// fills the gaps of dear machines that stay anyway for nothing; the gaps of
+// cheap ones are better kept for work that may not.
 func (r *round) price(j *Job, n *Node) float64 {
-	if j.Spec.Standby && n.Fixed {
+	if j.Spec.Standby && n.Fixed && n.Dear {
 		return 0
 	}
 	return taskPrice(n, fleet.Need(j.Spec))
@@ -369,7 +377,11 @@
 		if image == 0 && !a.image {
 			pulls = cmp.Compare(na.Pulling, nb.Pulling)
 		}
-		return cmp.Or(price, image, pulls, cmp.Compare(b.count, a.count), cmp.Compare(a.spare, b.spare), cmp.Compare(na.ID, nb.ID))
+		stays, count, spare := cmp.Compare(b2i(nb.Fixed), b2i(na.Fixed)), cmp.Compare(b.count, a.count), cmp.Compare(a.spare, b.spare)
+		if j.Fetch || j.Spec.Standby {
+			return cmp.Or(price, image, pulls, count, spare, cmp.Compare(na.ID, nb.ID))
+		}
+		return cmp.Or(price, count, stays, spare, image, pulls, cmp.Compare(na.ID, nb.ID))
 	})
 	var places []Place
 	taken := map[string]int{}
@@ -423,7 +435,8 @@
 
 // preempt stops work of lower levels so that up to want tasks of j fit, and
 // keeps the room for them. It never stops work for nothing: a job that starts
-// whole gets all its room or none.
+// whole gets all its room or none. Replicas are only displaced for a job that
+// waited as long as a new machine takes.
 func (r *round) preempt(j *Job, want int) int {
 	need := fleet.Need(j.Spec)
 	type choice struct {
@@ -447,7 +460,7 @@
 		}
 		c := choice{node: i}
 		for _, v := range vs {
-			if v.Level >= j.Level || r.stopped[v.ID] {
+			if v.Level >= j.Level || r.stopped[v.ID] || v.Serve && !j.Overdue {
 				continue
 			}
 			room = room.Add(v.Need)
