--- a/internal/api/http.go
+++ b/internal/api/http.go
@@ -176,7 +176,7 @@
 		return "a task fits no machine type that the job allows", true
 	}
 	tasks := 1.0
-	if w.Shape == wire.Standing {
+	if w.Shape != wire.Sweep {
 		tasks = float64(w.Legs)
 	}
 	if (team.CpusMax > 0 && tasks*w.Cores > team.CpusMax) || (team.GpusMax > 0 && tasks*w.Gpus > team.GpusMax) {
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -119,6 +119,19 @@
 	return legs
 }
 
+// gangTry is the try that all tasks of a gang share in one start: that of those
+// which are placed already, else one that none of them has used.
+func (j *job) gangTry() uint64 {
+	next := uint64(1)
+	for _, p := range j.pieces {
+		for _, a := range p.live {
+			return a.Try
+		}
+		next = max(next, p.next)
+	}
+	return next
+}
+
 // each calls f for every attempt of the job that may be on its machine.
 func (j *job) each(f func(a *fleet.Attempt)) {
 	for _, p := range j.pieces {
--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -106,7 +106,10 @@
 				budget--
 			}
 			a := &fleet.Attempt{Uid: j.uid, Leg: leg, Try: p.next, Need: j.need, Image: j.rec.Spec.Rollout}
-			p.next++
+			if j.rec.Spec.Shape == wire.Group {
+				a.Try = j.gangTry()
+			}
+			p.next = max(p.next, a.Try+1)
 			p.live[leg] = a
 			j.live++
 			p.touch()
@@ -139,6 +142,13 @@
 		if w == 0 || now.Before(j.hold) {
 			continue
 		}
+		if j.rec.Spec.Shape == wire.Group && j.live > 0 {
+			// A gang runs whole or not at all: the rest ends, and it starts anew.
+			j.each(func(a *fleet.Attempt) {
+				c.fleet.StopAttempt(a, j.rec.Spec.StowS+c.Config.Cluster.Workers.ReportS, now, "its gang is not whole")
+			})
+			continue
+		}
 		byYard, known := map[string]int{}, true
 		if j.live > 0 && (j.rec.Spec.Together || j.rec.Spec.Scatter) {
 			j.each(func(a *fleet.Attempt) {
@@ -407,8 +417,8 @@
 	for _, r := range rents {
 		out = append(out, c.book(r))
 	}
-	if len(plan.Shorts) == 0 && settled {
-		c.idle(in, kept, now)
+	if settled {
+		c.idle(plan.Shorts, kept, now)
 	}
 	return out
 }
@@ -424,12 +434,19 @@
 
 // idle returns machines that have had nothing to do for a while and that are
 // not kept as spare room. One at a time: the next round sees what is left.
-func (c *Controller) idle(in *sched.Input, kept map[string]bool, now time.Time) {
+func (c *Controller) idle(shorts []sched.Short, kept map[string]bool, now time.Time) {
+	// Machines that what waits cannot use are returned even while work waits:
+	// else they could hold the last capacity that the cloud has, for ever.
+	wanted := func(m *fleet.Machine) bool {
+		return slices.ContainsFunc(shorts, func(s sched.Short) bool {
+			return sched.Allowed(s.Job.Spec, m.Rig, m.Yard, m.Standby) && m.Cap.Holds(fleet.Need(s.Job.Spec))
+		})
+	}
 	var worst *fleet.Machine
 	var worstPrice float64
 	c.fleet.Each(func(m *fleet.Machine) {
 		r := c.rig(m.Rig)
-		if m.State != fleet.Ready || m.Draining || m.LiveCount() > 0 || kept[m.ID] || r == nil {
+		if m.State != fleet.Ready || m.Draining || m.LiveCount() > 0 || kept[m.ID] || r == nil || wanted(m) {
 			return
 		}
 		// A machine costs at least a minute; what comes back within a
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -423,7 +423,7 @@
 		return
 	}
 	switch l.Status {
-	case wire.LegFetching:
+	case wire.LegFetching, wire.LegWaiting:
 		f.shift(a, Fetching, now, "reported")
 	case wire.LegRunning:
 		if a.RunAt.IsZero() {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -236,7 +236,7 @@
 // whole reports whether the job starts with all its tasks or not at all. A job
 // that runs already only gets back what it lost.
 func whole(j *Job) bool {
-	return (j.Spec.Shape == wire.Standing || j.Spec.Together) && j.Live == 0
+	return (j.Spec.Shape != wire.Sweep || j.Spec.Together) && j.Live == 0
 }
 
 // Allowed reports whether a job may use a machine of this kind at all.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -29,6 +29,7 @@
 const (
 	Sweep    Shape = "sweep"
 	Standing Shape = "standing"
+	Group    Shape = "group" // a gang: its tasks run together or not at all
 )
 
 // Rank is the priority of a job.
@@ -152,8 +153,8 @@
 	if !ValidUid(w.Uid) {
 		return Work{}, errors.New("Uid has not the form run-000000")
 	}
-	if w.Shape != Sweep && w.Shape != Standing {
-		return Work{}, errors.New("Shape must be sweep or standing")
+	if w.Shape != Sweep && w.Shape != Standing && w.Shape != Group {
+		return Work{}, errors.New("Shape must be sweep, standing or group")
 	}
 	if w.Rank.Level() == 0 {
 		return Work{}, errors.New("Rank must be critical, high, standard or best_effort")
@@ -240,6 +241,7 @@
 // The task states that workers report.
 const (
 	LegFetching LegStatus = "fetching"
+	LegWaiting  LegStatus = "waiting" // has its image, waits for the rest of its gang
 	LegRunning  LegStatus = "running"
 	LegSaving   LegStatus = "saving"
 	LegEnded    LegStatus = "ended"
