A new leader gives up machines that alone do not find it after three quarters of a lease

Cause: three machines died seconds before the leader lost the state service; its successor waited one and a half leases for them.

--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -211,6 +211,7 @@
 		}
 	})
 	cutOff := func(m *fleet.Machine) bool { return quiet[m.Yard] > 2 && 2*quiet[m.Yard] > total[m.Yard] }
+	few := func(m *fleet.Machine) bool { return quiet[m.Yard] <= max(1, total[m.Yard]/8) }
 	settled := now.Sub(c.steady) > 2*lease
 	c.fleet.Each(func(m *fleet.Machine) {
 		switch {
@@ -219,10 +220,13 @@
 			c.giveUp(m, now, "failed")
 		case m.State == fleet.Silent && (!cutOff(m) || now.Sub(m.Heard) > 6*lease):
 			c.giveUp(m, now, "silent")
-		case m.State == fleet.Ready && settled && now.Sub(m.Heard) > 4*every && quiet[m.Yard] <= max(1, total[m.Yard]/8):
+		case few(m) && (m.State == fleet.Ready && settled && now.Sub(m.Heard) > 4*every ||
+			m.State == fleet.Booting && m.LiveCount() > 0 && now.Sub(m.Heard) > max(5*every, lease*3/4)):
 			// A few machines fall silent while all others go on: they have
 			// stopped, hang or are cut off, and by the time they come back
-			// their leases have ended. Waiting would only cost time.
+			// their leases have ended. Waiting would only cost time. Those that
+			// a new leader has not heard yet may still be looking for it, and
+			// get a little longer.
 			c.giveUp(m, now, "silent while others report")
 		case m.State == fleet.Booting && m.LiveCount() == 0:
 			boot := 60.0
