--- a/internal/api/http.go
+++ b/internal/api/http.go
@@ -497,6 +497,9 @@
 		}
 	}
 	n.mu.Lock()
+	if _, ok := n.kept[r.Host]; !ok {
+		slog.Info("keeping a lease in the leader's place", "host", r.Host, "term", v.Term)
+	}
 	n.kept[r.Host] = time.Now()
 	n.mu.Unlock()
 	return http.StatusOK, encode(o)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -76,6 +76,7 @@
 	returns returner
 	arrive  map[string]*arrivals
 	told    map[string]time.Time // announcements
+	cutOff  map[string]time.Time // by zone: when most of it was last silent
 	noted   map[string]int       // how many images of a machine are recorded
 	kept    map[string]bool      // machines kept as spare room by the last round
 	last    RoundInfo
@@ -100,7 +101,7 @@
 func New(d Deps, term uint64) *Controller {
 	c := &Controller{Deps: d, term: term, wake: make(chan struct{}, 1), news: make(chan struct{}, 1), now: time.Now,
 		jobs: map[string]*job{}, pending: map[string]*rental{}, refused: map[provision.Group]refusal{},
-		arrive: map[string]*arrivals{}, noted: map[string]int{}, told: map[string]time.Time{}}
+		arrive: map[string]*arrivals{}, cutOff: map[string]time.Time{}, noted: map[string]int{}, told: map[string]time.Time{}}
 	c.fleet = fleet.New(term, d.Config.Lease(), c)
 	c.returns.recs = map[string]*hostRec{}
 	c.begun = c.now()
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -210,8 +210,18 @@
 			quiet[m.Yard]++
 		}
 	})
-	cutOff := func(m *fleet.Machine) bool { return quiet[m.Yard] > 2 && 2*quiet[m.Yard] > total[m.Yard] }
-	few := func(m *fleet.Machine) bool { return quiet[m.Yard] <= max(1, total[m.Yard]/8) }
+	for yard, n := range quiet {
+		if n > 2 && 2*n > total[yard] {
+			c.cutOff[yard] = now
+		}
+	}
+	// When a cut ends, machines come back one after the other: the last ones
+	// must not be taken for lost because the others are back.
+	cutOff := func(m *fleet.Machine) bool {
+		at, ok := c.cutOff[m.Yard]
+		return ok && now.Sub(at) < lease
+	}
+	few := func(m *fleet.Machine) bool { return !cutOff(m) && quiet[m.Yard] <= max(1, total[m.Yard]/8) }
 	settled := now.Sub(c.steady) > 2*lease
 	c.fleet.Each(func(m *fleet.Machine) {
 		switch {
