--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -168,7 +168,8 @@
 		sj.Fetch = sj.SlackS < 0 || j.lost > 0 && j.rec.Spec.Shape == wire.Standing
 		sj.LaxS = c.laxS(j, now)
 		boot := c.bootS(&j.rec.Spec)
-		sj.Overdue = sj.WaitedS > boot || sj.LaxS < boot
+		sj.Tired = sj.WaitedS > boot
+		sj.Overdue = sj.Tired || sj.LaxS < boot
 		in.Jobs = append(in.Jobs, sj)
 	}
 	var machines []*fleet.Machine
@@ -342,27 +343,39 @@
 	return false
 }
 
-// arrivals measures how often jobs of a class come.
+// arrivals measures how often jobs of a class come, with old ones fading.
 type arrivals struct {
-	spec    *wire.Work
-	level   int
-	perS    float64
-	legs    float64
-	at      time.Time
-	counted int
+	spec  *wire.Work
+	level int
+	count float64 // jobs, each less the longer ago it came
+	legs  float64 // tasks of a job, on the mean
+	at    time.Time
 }
 
+// fade is how long ago a job must have come to count as little as 1/e. It is
+// a few boots: spare room is for what comes while a machine boots.
+func (a *arrivals) fade(now time.Time, overS float64) {
+	a.count *= math.Exp(-now.Sub(a.at).Seconds() / overS)
+	a.at = now
+}
+
+const arrivalFadeS = 6 // times the users' longest wait for a machine: see fadeS
+
+// fadeS is the time over which arrivals fade.
+func (c *Controller) fadeS() float64 { return arrivalFadeS * 2 * c.Config.Lease().Seconds() }
+
 // arrived notes a new job.
 func (c *Controller) arrived(j *job, now time.Time) {
 	s := &j.rec.Spec
 	a := c.arrive[s.Berth]
 	if a == nil {
-		a = &arrivals{at: c.begun, legs: float64(s.Legs)}
+		a = &arrivals{at: now, legs: float64(s.Legs)}
 		c.arrive[s.Berth] = a
 	}
 	a.spec, a.level = s, j.level
 	a.legs += (float64(s.Legs) - a.legs) / 8
-	a.counted++
+	a.fade(now, c.fadeS())
+	a.count++
 }
 
 // spare makes phantom tasks of the classes that must start at once: the room
@@ -374,8 +387,8 @@
 		if a.level < wire.High.Level() || factor == 0 {
 			continue
 		}
-		span := now.Sub(a.at).Seconds()
-		perS := float64(a.counted) / max(span, 30)
+		a.fade(now, c.fadeS())
+		perS := a.count / c.fadeS()
 		n := int(math.Ceil(factor * float64(provision.Spare(perS, a.legs, c.bootS(a.spec)))))
 		for i := range n {
 			spec := *a.spec
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -57,7 +57,8 @@
 	Fetch   bool    // the fetch of its image may make a start late
 	SlackS  float64 // what is left of the time to start after fetch and delivery
 	LaxS    float64 // how long it can still wait and be in time
-	Overdue bool    // waited so long that dearer machines are worth it
+	Overdue bool    // could not wait for a new machine: dearer ones that stay anyway will do
+	Tired   bool    // waited as long as a new machine takes: any machine will do
 }
 
 // Team is what a team uses and may use; a limit of 0 is none.
@@ -316,7 +317,7 @@
 
 func (r *round) usable(j *Job, i int, yard string) bool {
 	n := &r.in.Nodes[i]
-	if !n.Standby && j.Spec.Standby && !j.Overdue || r.warm && (n.Images == nil || !n.Images(j.Spec.Rollout)) {
+	if !n.Standby && j.Spec.Standby && (!j.Overdue || n.Leaving && !j.Tired) || r.warm && (n.Images == nil || !n.Images(j.Spec.Rollout)) {
 		return false
 	}
 	return !r.reserved[i] && (yard == "" || n.Yard == yard) &&
