Answers that order nothing wait half an interval for launches and stops

Cause, from timelines of lost replicas: 2 s from proof to placement and 1.2 s from there to the launch went by waiting for the next report.

--- a/internal/api/http.go
+++ b/internal/api/http.go
@@ -406,7 +406,7 @@
 	if err != nil {
 		return err
 	}
-	status, answer := n.answerReport(body, true)
+	status, answer := n.answerReport(c.Request().Context(), body, true)
 	if status == http.StatusServiceUnavailable {
 		c.Response().Header().Set(echo.HeaderRetryAfter, strconv.Itoa(1))
 	}
@@ -419,13 +419,13 @@
 	if n.lead.Load() == nil {
 		return peer.CheckInReply{Status: http.StatusMisdirectedRequest}
 	}
-	status, answer := n.answerReport(a.Body, false)
+	status, answer := n.answerReport(context.Background(), a.Body, false)
 	return peer.CheckInReply{Status: status, Body: answer}
 }
 
 func encode(v any) []byte { return ledger.Encode(v) }
 
-func (n *Node) answerReport(body []byte, direct bool) (int, []byte) {
+func (n *Node) answerReport(ctx context.Context, body []byte, direct bool) (int, []byte) {
 	r, err := wire.ParseReport(body)
 	if err != nil {
 		return http.StatusBadRequest, encode(wire.Fault{Error: err.Error()})
@@ -436,7 +436,7 @@
 		return http.StatusServiceUnavailable, encode(wire.Fault{Error: "the state service was not reached for too long"})
 	}
 	if c := n.lead.Load(); c != nil {
-		if o, ok := c.CheckIn(&r); ok {
+		if o, ok := c.CheckIn(ctx, &r, direct); ok {
 			return http.StatusOK, encode(o)
 		}
 		return http.StatusMisdirectedRequest, encode(wire.Redirect{})
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -76,10 +76,11 @@
 	window  int
 	returns returner
 	arrive  map[string]*arrivals
-	told    map[string]time.Time // announcements
-	cutOff  map[string]time.Time // by zone: when most of it was last silent
-	noted   map[string]int       // how many images of a machine are recorded
-	kept    map[string]bool      // machines kept as spare room by the last round
+	told    map[string]time.Time     // announcements
+	held    map[string]chan struct{} // answers that wait for something to order, by machine
+	cutOff  map[string]time.Time     // by zone: when most of it was last silent
+	noted   map[string]int           // how many images of a machine are recorded
+	kept    map[string]bool          // machines kept as spare room by the last round
 	last    wire.RoundStatus
 	lastAt  time.Time
 	steady  time.Time
@@ -89,7 +90,7 @@
 func New(d Deps, term uint64) *Controller {
 	c := &Controller{Deps: d, term: term, wake: make(chan struct{}, 1), news: make(chan struct{}, 1), now: time.Now,
 		jobs: map[string]*job{}, pending: map[string]*rental{}, refused: map[provision.Group]refusal{},
-		arrive: map[string]*arrivals{}, cutOff: map[string]time.Time{}, noted: map[string]int{}, told: map[string]time.Time{}}
+		arrive: map[string]*arrivals{}, cutOff: map[string]time.Time{}, noted: map[string]int{}, told: map[string]time.Time{}, held: map[string]chan struct{}{}}
 	c.fleet = fleet.New(term, d.Config.Lease(), c)
 	c.returns.recs = map[string]*hostRec{}
 	c.begun = c.now()
@@ -224,7 +225,7 @@
 	}
 	for _, j := range c.jobs {
 		if j.rec.Status == wire.JobAborted {
-			j.each(func(a *fleet.Attempt) { c.fleet.StopAttempt(a, 0, now, "withdrawn") })
+			j.each(func(a *fleet.Attempt) { c.stop(a, 0, now, "withdrawn") })
 		}
 	}
 	c.loaded = true
@@ -261,7 +262,7 @@
 		j.rec, j.stamp = e.Job, e.Stamp
 		if !wasFinal && e.Job.Status == wire.JobAborted {
 			slog.Info("job withdrawn", "uid", uid)
-			j.each(func(a *fleet.Attempt) { c.fleet.StopAttempt(a, 0, now, "withdrawn") })
+			j.each(func(a *fleet.Attempt) { c.stop(a, 0, now, "withdrawn") })
 			c.poke()
 		}
 	}
@@ -270,7 +271,7 @@
 // dropJob forgets a job that is archived.
 func (c *Controller) dropJob(j *job, now time.Time) {
 	delete(c.jobs, j.uid)
-	j.each(func(a *fleet.Attempt) { c.fleet.StopAttempt(a, 0, now, "job is archived") })
+	j.each(func(a *fleet.Attempt) { c.stop(a, 0, now, "job is archived") })
 	for _, p := range j.pieces {
 		for _, a := range p.ended {
 			c.fleet.Record(a, now)
@@ -287,29 +288,68 @@
 }
 
 // CheckIn answers a worker's report. ok is false if the report shows that this
-// term is over.
-func (c *Controller) CheckIn(r *wire.Report) (o wire.Orders, ok bool) {
+// term is over. With hold set, an answer that has nothing to order waits a
+// part of a report's interval for something: launches and stops then travel at
+// once instead of with the next report. The lease runs from when the report
+// was sent, so the wait costs it nothing.
+func (c *Controller) CheckIn(ctx context.Context, r *wire.Report, hold bool) (o wire.Orders, ok bool) {
 	if r.Baton > c.term {
 		c.Saw(r.Baton)
 		c.depose("a worker has seen a higher token")
 		return wire.Orders{}, false
 	}
+	o = wire.Orders{Baton: c.term, Orders: []wire.Order{}}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	o = wire.Orders{Baton: c.term, Orders: []wire.Order{}}
 	if !c.loaded {
 		return o, true
 	}
-	now := c.now()
-	m, fresh := c.fleet.Report(r, now)
+	m, fresh := c.fleet.Report(r, c.now())
 	if !fresh {
 		return o, true
 	}
 	c.capacity(m)
-	o.Orders = c.fleet.Orders(m, now, true)
+	if o.Orders = c.fleet.Orders(m, c.now(), true); len(o.Orders) > 0 || !hold || m.State != fleet.Ready {
+		return o, true
+	}
+	wake := make(chan struct{})
+	c.held[m.ID] = wake
+	c.mu.Unlock()
+	t := time.NewTimer(c.Config.ReportEvery() / 2)
+	select {
+	case <-wake:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	t.Stop()
+	c.mu.Lock()
+	if c.held[m.ID] == wake {
+		delete(c.held, m.ID)
+	}
+	// Orders answer the newest report only: the worker drops this answer if it
+	// has sent another one.
+	if m.Shift == r.Shift && m.Tick == r.Tick && ctx.Err() == nil {
+		o.Orders = c.fleet.Orders(m, c.now(), true)
+	}
 	return o, true
 }
 
+// release lets a held answer to a machine go.
+func (c *Controller) release(m *fleet.Machine) {
+	if wake := c.held[m.ID]; wake != nil {
+		delete(c.held, m.ID)
+		close(wake)
+	}
+}
+
+// stop asks for the end of an attempt.
+func (c *Controller) stop(a *fleet.Attempt, leewayS float64, now time.Time, why string) {
+	c.fleet.StopAttempt(a, leewayS, now, why)
+	if a.Live() {
+		c.release(a.Machine)
+	}
+}
+
 // capacity fills in what a machine of its type offers.
 func (c *Controller) capacity(m *fleet.Machine) {
 	if c.cat == nil || m.Rig == "" {
@@ -353,6 +393,9 @@
 // AttemptChanged keeps the jobs in step with their attempts.
 func (c *Controller) AttemptChanged(a *fleet.Attempt, from fleet.AttemptState, why string) {
 	slog.Info("attempt", "leg", a.Name(), "try", a.Try, "host", a.Machine.ID, "from", from.String(), "to", a.State.String(), "why", why)
+	if a.State == fleet.Committed {
+		c.release(a.Machine)
+	}
 	j := c.jobs[a.Uid]
 	if j == nil {
 		if a.State == fleet.Ended {
--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -74,7 +74,7 @@
 			leeway = v.StowS + c.Config.Cluster.Workers.ReportS
 		}
 		slog.Info("preempted", "leg", a.Name(), "host", a.Machine.ID)
-		c.fleet.StopAttempt(a, leeway, now, "preempted")
+		c.stop(a, leeway, now, "preempted")
 	}
 	c.last = info
 	if info.Waiting > 0 {
@@ -147,7 +147,7 @@
 		if j.rec.Spec.Shape == wire.Group && j.live > 0 {
 			// A gang runs whole or not at all: the rest ends, and it starts anew.
 			j.each(func(a *fleet.Attempt) {
-				c.fleet.StopAttempt(a, j.rec.Spec.StowS+c.Config.Cluster.Workers.ReportS, now, "its gang is not whole")
+				c.stop(a, j.rec.Spec.StowS+c.Config.Cluster.Workers.ReportS, now, "its gang is not whole")
 			})
 			continue
 		}
