Batch fills the gaps of machines that stay, at once

Since stops travel at once, batch in such gaps costs those who come later little, and it is work for money that is spent anyway.

--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -180,7 +180,6 @@
 		case m.Takes(now) && m.Strays() == 0:
 			n.Free, n.Soon = m.Free(), m.Free()
 			n.Leaving = !m.Standby && !c.kept[m.ID]
-			n.Dear = c.dear(m.Rig)
 			m.Each(func(a *fleet.Attempt) {
 				if !a.Live() {
 					return
@@ -279,24 +278,6 @@
 	return due - age - fetch - 1.5*s.ExpectS
 }
 
-// dear reports whether a type costs a good deal more for its room than the
-// cheapest one does.
-func (c *Controller) dear(sku string) bool {
-	unit := func(r *wire.Rig) float64 {
-		if r.Gpus > 0 {
-			return r.Hourly / r.Gpus
-		}
-		return r.Hourly / r.Cores
-	}
-	r := c.rig(sku)
-	for i := range c.cat.Rigs {
-		if o := &c.cat.Rigs[i]; r != nil && (o.Gpus > 0) == (r.Gpus > 0) && unit(r) > 1.2*unit(o) {
-			return true
-		}
-	}
-	return false
-}
-
 // bootS is how long the quickest machine that may run a task of the job boots.
 func (c *Controller) bootS(w *wire.Work) float64 {
 	boot := math.Inf(1)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -31,7 +31,6 @@
 	Price   float64  // per hour; 0 if unknown
 	Leaving bool     // will be returned unless work that may not use spot machines needs it
 	Fixed   bool     // stays for work that may not use spot machines
-	Dear    bool     // costs more for its room than other types do
 	Pulling int      // images it fetches now; they share its rate
 	Avoid   func(uid string) bool
 }
@@ -317,7 +316,7 @@
 
 func (r *round) usable(j *Job, i int, yard string) bool {
 	n := &r.in.Nodes[i]
-	if !n.Standby && j.Spec.Standby && (!j.Overdue || n.Leaving && !j.Tired) || r.warm && (n.Images == nil || !n.Images(j.Spec.Rollout)) {
+	if !n.Standby && !n.Fixed && j.Spec.Standby && (!j.Overdue || n.Leaving && !j.Tired) || r.warm && (n.Images == nil || !n.Images(j.Spec.Rollout)) {
 		return false
 	}
 	return !r.reserved[i] && (yard == "" || n.Yard == yard) &&
@@ -335,11 +334,10 @@
 	return n.Price * share
 }
 
-// price is what placing a task there costs. Work that may use spot machines
-// fills the gaps of dear machines that stay anyway for nothing; the gaps of
-// cheap ones are better kept for work that may not.
+// price is what placing a task there costs: nothing for work that may be stopped
+// and fills the gaps of a machine that stays anyway.
 func (r *round) price(j *Job, n *Node) float64 {
-	if j.Spec.Standby && n.Fixed && n.Dear {
+	if j.Spec.Standby && n.Fixed {
 		return 0
 	}
 	return taskPrice(n, fleet.Need(j.Spec))
