--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -358,7 +358,7 @@
 			case wire.LegFetching:
 				l.status, l.on, l.due = wire.LegRunning, true, time.Time{}
 				k.w.Start(key.name, k.Host, k.Rig, k.Yard, k.Standby)
-				if now.Before(k.sickTill) || s.Berth == k.w.Mistaken {
+				if now.Before(k.sickTill) || s.Berth != "" && s.Berth == k.w.Mistaken {
 					k.end(key, l, wire.CauseError)
 				} else if s.Shape == wire.Sweep {
 					l.due = now.Add(time.Duration(s.ExpectS * float64(time.Second)))
