--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -230,7 +230,7 @@
 			c.giveUp(m, now, "failed")
 		case m.State == fleet.Silent && (!cutOff(m) || now.Sub(m.Heard) > 6*lease):
 			c.giveUp(m, now, "silent")
-		case few(m) && (m.State == fleet.Ready && settled && now.Sub(m.Heard) > 3*every ||
+		case few(m) && (m.State == fleet.Ready && now.Sub(c.steady) > lease && now.Sub(m.Heard) > 3*every ||
 			m.State == fleet.Booting && m.LiveCount() > 0 && now.Sub(m.Heard) > max(5*every, lease*3/4)):
 			// A few machines fall silent while all others go on: they have
 			// stopped, hang or are cut off, and by the time they come back
