--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -157,22 +157,15 @@
 // load rebuilds the picture from the records. Until it is loaded, reports keep
 // their leases and get no orders.
 func (c *Controller) load(ctx context.Context) error {
-	jobs, _, err := c.Store.List(ctx, ledger.JobPrefix)
-	if err != nil {
-		return err
-	}
-	pieces, _, err := c.Store.List(ctx, ledger.PiecePrefix)
-	if err != nil {
-		return err
-	}
-	hosts, _, err := c.Store.List(ctx, ledger.HostPrefix)
-	if err != nil {
-		return err
-	}
-	images, _, err := c.Store.List(ctx, ledger.ImagesPrefix)
-	if err != nil {
-		return err
+	var lists [4][]wire.Item
+	for i, under := range []string{ledger.JobPrefix, ledger.PiecePrefix, ledger.HostPrefix, ledger.ImagesPrefix} {
+		rows, _, err := c.Store.List(ctx, under)
+		if err != nil {
+			return err
+		}
+		lists[i] = rows
 	}
+	jobs, pieces, hosts, images := lists[0], lists[1], lists[2], lists[3]
 	for _, row := range jobs {
 		var rec ledger.Job
 		if err := json.Unmarshal(row.Value, &rec); err != nil {
@@ -456,7 +449,11 @@
 	maps.DeleteFunc(j.avoid, func(_ string, at time.Time) bool { return now.Sub(at) > 12*lease })
 	j.avoid[m.ID] = now
 	j.fails++
-	if len(j.avoid) >= 2 && len(m.Errors) == 0 {
+	others := len(m.Errors)
+	if _, own := m.Errors[j.uid]; own {
+		others--
+	}
+	if len(j.avoid) >= 2 && others == 0 {
 		j.hold = now.Add(min(3*lease, time.Second<<max(0, min(j.fails-2, 10))))
 		slog.Info("job fails on several machines", "uid", j.uid, "fails", j.fails)
 		for id := range j.avoid {
