--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -2,9 +2,18 @@
 
 import (
 	"context"
+	"flag"
 	"testing"
+
+	"pgregory.net/rapid"
+
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/wire"
 )
 
+// The same inputs every run; -rapid.seed draws others.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 // A token in a worker's report, or a ping, may tell a newer term before the
 // leader of that term has told its name. The name must still be taken when it
 // comes: a node that cannot read the state service has no other source for it,
@@ -21,3 +30,46 @@
 		t.Fatalf("an older term changed the view to %+v", v)
 	}
 }
+
+// Whatever order news of the leadership comes in, over watches, pings and
+// tokens, the known term never falls, a leader is only known for the newest
+// term, and a node that leads an older term is stopped.
+func TestTermNeverFalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := New(nil, "a", 1, func(context.Context, uint64) {})
+		names := map[uint64]string{} // who leads a term
+		stopped := false
+		e.term = rapid.Uint64Range(1, 10).Draw(t, "own")
+		e.stop = func() { stopped = true }
+		e.view = View{Leader: "a", Term: e.term, Synced: true}
+		names[e.term] = "a"
+		last := e.term
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			term := rapid.Uint64Range(1, 20).Draw(t, "term")
+			if names[term] == "" {
+				names[term] = rapid.SampledFrom([]string{"b", "c"}).Draw(t, "name")
+			}
+			switch rapid.IntRange(0, 3).Draw(t, "news") {
+			case 0:
+				e.Saw(term, "")
+			case 1:
+				e.Saw(term, names[term])
+			case 2:
+				e.change(wire.News{Set: ledger.LeaderKey, Value: ledger.Encode(ledger.Leader{Node: names[term]}), Stamp: term})
+			case 3:
+				e.change(wire.News{Drop: ledger.LeaderKey, Stamp: term})
+			}
+			v := e.View()
+			if v.Term < last {
+				t.Fatalf("term fell from %d to %d", last, v.Term)
+			}
+			if v.Leader != "" && v.Leader != names[v.Term] {
+				t.Fatalf("%s is taken for the leader of term %d, it is %s", v.Leader, v.Term, names[v.Term])
+			}
+			if v.Term > e.term && !stopped {
+				t.Fatalf("term %d is known, but the leader of %d goes on", v.Term, e.term)
+			}
+			last = v.Term
+		}
+	})
+}
