--- /dev/null
+++ b/cmd/lotusstile/main.go
@@ -0,0 +1,94 @@
+// Command lotusstile schedules a fleet of machines that serve language models.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strings"
+
+	"github.com/alecthomas/kong"
+
+	"lotusstile.dev/lotusstile/internal/api"
+	"lotusstile.dev/lotusstile/internal/config"
+)
+
+var version = "0.1.0"
+
+type cli struct {
+	Serve   serveCmd   `cmd:"" default:"withargs" help:"Serve (the default)."`
+	Check   checkCmd   `cmd:"" help:"Check a settings file and end."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+type serveCmd struct {
+	Config string `required:"" type:"path" help:"Settings file (TOML)."`
+}
+
+type checkCmd struct {
+	Config string `required:"" type:"path" help:"Settings file (TOML)."`
+}
+
+type versionCmd struct{}
+
+func main() {
+	// The program has a share of one core: more threads only cost switches.
+	runtime.GOMAXPROCS(1)
+	k := kong.Parse(&cli{}, kong.Name("lotusstile"), kong.Description("A scheduler for fleets that serve language models."), kong.UsageOnError())
+	if err := k.Run(); err != nil {
+		for _, line := range strings.Split(err.Error(), "\n") {
+			fmt.Fprintln(os.Stderr, "lotusstile:", line)
+		}
+		os.Exit(1)
+	}
+}
+
+// Run serves until the process is killed.
+func (s *serveCmd) Run() error {
+	level, err := logLevel(os.Getenv("LOG_LEVEL"))
+	if err != nil {
+		return err
+	}
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+	cfg, err := config.Load(s.Config)
+	if err != nil {
+		return err
+	}
+	// The limit counts all that the process holds; a third is left for what
+	// the runtime does not count and for bursts.
+	debug.SetMemoryLimit(int64(cfg.Cluster.Limits.MemMb * (1 << 20) * 2 / 3))
+	debug.SetGCPercent(200)
+	return api.New(cfg).Run(context.Background())
+}
+
+// Run checks the settings file.
+func (c *checkCmd) Run() error {
+	cfg, err := config.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: settings of %s are valid\n", c.Config, cfg.Label)
+	return nil
+}
+
+// Run prints the version.
+func (versionCmd) Run() error {
+	_, err := fmt.Println("lotusstile", version)
+	return err
+}
+
+func logLevel(name string) (slog.Level, error) {
+	switch name {
+	case "", "info":
+		return slog.LevelInfo, nil
+	case "error":
+		return slog.LevelError, nil
+	case "debug":
+		return slog.LevelDebug, nil
+	}
+	return 0, errors.New("LOG_LEVEL must be error, info or debug")
+}
--- /dev/null
+++ b/internal/api/http.go
@@ -0,0 +1,398 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"golang.org/x/net/netutil"
+
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/peer"
+	"lotusstile.dev/lotusstile/internal/provision"
+	"lotusstile.dev/lotusstile/internal/store"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// serve answers users, workers and health checks.
+func (n *Node) serve(l net.Listener) error {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.HTTPErrorHandler = func(err error, c echo.Context) {
+		if c.Response().Committed {
+			return
+		}
+		status, text := http.StatusInternalServerError, "internal error"
+		var he *echo.HTTPError
+		if errors.As(err, &he) {
+			status, text = he.Code, http.StatusText(he.Code)
+			if s, ok := he.Message.(string); ok {
+				text = s
+			}
+		} else {
+			slog.Error("request failed", "path", c.Path(), "err", err)
+		}
+		if err := c.JSON(status, wire.Fault{Error: text}); err != nil {
+			slog.Debug("answer not written", "err", err)
+		}
+	}
+	e.POST("/checkin", n.checkIn)
+	e.POST("/work", n.submit)
+	e.GET("/work/:id", n.poll)
+	e.POST("/work/:id/withdraw", n.withdraw)
+	e.GET("/ready", n.ready)
+	srv := &http.Server{
+		Handler:           e,
+		ReadHeaderTimeout: n.cfg.Lease() / 2,
+		ReadTimeout:       n.cfg.Lease() / 2,
+		WriteTimeout:      n.cfg.Lease(),
+		IdleTimeout:       3 * n.cfg.Lease(),
+		MaxHeaderBytes:    8 << 10,
+	}
+	// The rest of the sockets is for the services, the workers and the peers.
+	err := srv.Serve(netutil.LimitListener(l, n.cfg.Cluster.Limits.MaxConnections*3/4))
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+func readBody(c echo.Context) ([]byte, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, wire.MaxBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, echo.NewHTTPError(http.StatusRequestEntityTooLarge, "body is over 64 KiB")
+	}
+	if err != nil {
+		return nil, echo.NewHTTPError(http.StatusBadRequest, "body cannot be read")
+	}
+	return data, nil
+}
+
+// retryLater answers a request that cannot be decided now.
+func retryLater(c echo.Context, why string) error {
+	c.Response().Header().Set(echo.HeaderRetryAfter, "1")
+	return c.JSON(http.StatusServiceUnavailable, wire.Fault{Error: why})
+}
+
+// ready answers health checks. A node is out only while it cannot serve and
+// another can: in an outage that all share, leaving would help nobody.
+func (n *Node) ready(c echo.Context) error {
+	if !n.mirror.Synced() || n.cat.Load() == nil {
+		return retryLater(c, "still catching up")
+	}
+	if !n.serving() {
+		for _, p := range n.peers {
+			if r, ok := p.Last(n.cfg.HoldTTL()); ok && r.Serving {
+				return retryLater(c, "the state service is not reached from here")
+			}
+		}
+	}
+	return c.NoContent(http.StatusOK)
+}
+
+// userContext bounds the work for a user who waits for at most limit.
+func userContext(c echo.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(c.Request().Context(), limit)
+}
+
+const (
+	submitWait = 4 * time.Second         // users wait 5 s for an answer to a submission
+	pollWait   = 1700 * time.Millisecond // and 2 s for one to a poll
+)
+
+func (n *Node) submit(c echo.Context) error {
+	body, err := readBody(c)
+	if err != nil {
+		return err
+	}
+	w, err := wire.ParseWork(body)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	ctx, cancel := userContext(c, submitWait)
+	defer cancel()
+	cat := n.cat.Load()
+	why, never := "", false
+	if cat != nil {
+		why, never = n.refusal(cat, &w)
+	}
+	if cat == nil || never {
+		// A job that is known already is not refused.
+		view, known, err := n.lookup(ctx, w.Uid)
+		switch {
+		case err != nil:
+			return retryLater(c, "cannot decide yet")
+		case known:
+			return c.JSON(http.StatusOK, view)
+		case cat == nil:
+			return retryLater(c, "the machine types are not known yet")
+		}
+		return c.JSON(http.StatusUnprocessableEntity, wire.Fault{Error: why})
+	}
+	rec := ledger.Job{Spec: w, Status: wire.JobQueued, AtMs: time.Now().UnixMilli(), Per: ledger.LegsPerPiece(n.cfg.ValueBytes())}
+	value := ledger.Encode(rec)
+	if len(value) > n.cfg.ValueBytes() {
+		return echo.NewHTTPError(http.StatusBadRequest, "the description is too long")
+	}
+	_, err = n.store.Commit(ctx, wire.Commit{
+		Guards: []wire.Guard{{Key: ledger.JobKey(w.Uid)}, {Key: ledger.FinalKey(w.Uid)}},
+		Apply:  []wire.Change{{Set: ledger.JobKey(w.Uid), Value: value}},
+	})
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
+		view, known, err := n.lookup(ctx, w.Uid)
+		if err != nil || !known {
+			return retryLater(c, "cannot decide yet")
+		}
+		return c.JSON(http.StatusOK, view)
+	}
+	if err != nil {
+		slog.Info("submission not recorded", "uid", w.Uid, "err", err)
+		return retryLater(c, "cannot be recorded now")
+	}
+	return c.JSON(http.StatusCreated, wire.JobView{Uid: w.Uid, Status: wire.JobQueued})
+}
+
+// refusal tells why a job can never run.
+func (n *Node) refusal(cat *wire.Catalog, w *wire.Work) (string, bool) {
+	team, ok := n.cfg.Team(w.Crew)
+	if !ok {
+		return "unknown team", true
+	}
+	if !provision.Fits(cat, w) {
+		return "a task fits no machine type that the job allows", true
+	}
+	tasks := 1.0
+	if w.Shape == wire.Standing {
+		tasks = float64(w.Legs)
+	}
+	if (team.CpusMax > 0 && tasks*w.Cores > team.CpusMax) || (team.GpusMax > 0 && tasks*w.Gpus > team.GpusMax) {
+		return "the job needs more than its team's limit", true
+	}
+	return "", false
+}
+
+// lookup reads how a job stands. A final status is cached for ever; any other
+// is as fresh as the read.
+func (n *Node) lookup(ctx context.Context, uid string) (wire.JobView, bool, error) {
+	view := wire.JobView{Uid: uid}
+	if s, ok := n.finals.get(uid); ok {
+		view.Status = s
+		return view, true, nil
+	}
+	item, found, err := n.store.Get(ctx, ledger.JobKey(uid))
+	if err != nil {
+		return view, false, err
+	}
+	if found {
+		var rec ledger.Job
+		if err := json.Unmarshal(item.Value, &rec); err != nil {
+			return view, false, err
+		}
+		view.Status = rec.Status
+		if rec.Status.Final() {
+			n.finals.put(uid, rec.Status)
+		} else {
+			n.counts(&view)
+		}
+		return view, true, nil
+	}
+	// Archiving writes the final status in the same commit that drops the
+	// record: a job without a record has one, or never was.
+	item, found, err = n.store.Get(ctx, ledger.FinalKey(uid))
+	if err != nil || !found {
+		return view, false, err
+	}
+	var rec ledger.Final
+	if err := json.Unmarshal(item.Value, &rec); err != nil {
+		return view, false, err
+	}
+	n.finals.put(uid, rec.Status)
+	view.Status = rec.Status
+	return view, true, nil
+}
+
+// counts adds how many tasks are done and running, as far as the leader tells.
+func (n *Node) counts(view *wire.JobView) {
+	if c := n.lead.Load(); c != nil {
+		view.Done, view.Running, _ = c.Counts(view.Uid)
+	} else if p := n.leader(); p != nil {
+		if r, err := p.Counts(view.Uid); err == nil {
+			view.Done, view.Running = r.Done, r.Running
+		}
+	}
+	if view.Running > 0 {
+		view.Status = wire.JobRunning
+	}
+}
+
+func (n *Node) poll(c echo.Context) error {
+	uid := c.Param("id")
+	if !wire.ValidUid(uid) {
+		return echo.NewHTTPError(http.StatusNotFound, "no such job")
+	}
+	ctx, cancel := userContext(c, pollWait)
+	defer cancel()
+	view, known, err := n.lookup(ctx, uid)
+	switch {
+	case err != nil:
+		return retryLater(c, "cannot be read now")
+	case !known:
+		return echo.NewHTTPError(http.StatusNotFound, "no such job")
+	}
+	return c.JSON(http.StatusOK, view)
+}
+
+func (n *Node) withdraw(c echo.Context) error {
+	uid := c.Param("id")
+	if !wire.ValidUid(uid) {
+		return echo.NewHTTPError(http.StatusNotFound, "no such job")
+	}
+	ctx, cancel := userContext(c, submitWait)
+	defer cancel()
+	for ctx.Err() == nil {
+		if s, ok := n.finals.get(uid); ok {
+			return c.JSON(http.StatusOK, wire.JobView{Uid: uid, Status: s})
+		}
+		item, found, err := n.store.Get(ctx, ledger.JobKey(uid))
+		if err != nil {
+			return retryLater(c, "cannot be read now")
+		}
+		if !found {
+			view, known, err := n.lookup(ctx, uid)
+			if err != nil {
+				return retryLater(c, "cannot be read now")
+			}
+			if !known {
+				return echo.NewHTTPError(http.StatusNotFound, "no such job")
+			}
+			if view.Status.Final() {
+				return c.JSON(http.StatusOK, view)
+			}
+			continue
+		}
+		var rec ledger.Job
+		if err := json.Unmarshal(item.Value, &rec); err != nil {
+			return err
+		}
+		if rec.Status.Final() {
+			n.finals.put(uid, rec.Status)
+			continue
+		}
+		rec.Status = wire.JobAborted
+		_, err = n.store.Commit(ctx, wire.Commit{
+			Guards: []wire.Guard{{Key: item.Key, Stamp: item.Stamp}},
+			Apply:  []wire.Change{{Set: item.Key, Value: ledger.Encode(rec)}},
+		})
+		var conflict *store.ConflictError
+		switch {
+		case err == nil:
+			n.finals.put(uid, rec.Status)
+		case errors.As(err, &conflict):
+		default:
+			slog.Info("withdrawal not recorded", "uid", uid, "err", err)
+			return retryLater(c, "cannot be recorded now")
+		}
+	}
+	return retryLater(c, "cannot be decided now")
+}
+
+// checkIn answers a worker: the leader itself, or a follower that sends the
+// worker to the leader, relays its report, or keeps its lease.
+func (n *Node) checkIn(c echo.Context) error {
+	body, err := readBody(c)
+	if err != nil {
+		return err
+	}
+	status, answer := n.answerReport(body, true)
+	if status == http.StatusServiceUnavailable {
+		c.Response().Header().Set(echo.HeaderRetryAfter, strconv.Itoa(1))
+	}
+	return c.JSONBlob(status, answer)
+}
+
+// RelayCheckIn answers a report that a peer relays.
+func (n *Node) RelayCheckIn(a peer.CheckInArgs) peer.CheckInReply {
+	if n.lead.Load() == nil {
+		return peer.CheckInReply{Status: http.StatusMisdirectedRequest}
+	}
+	status, answer := n.answerReport(a.Body, false)
+	return peer.CheckInReply{Status: status, Body: answer}
+}
+
+func encode(v any) []byte { return ledger.Encode(v) }
+
+func (n *Node) answerReport(body []byte, direct bool) (int, []byte) {
+	r, err := wire.ParseReport(body)
+	if err != nil {
+		return http.StatusBadRequest, encode(wire.Fault{Error: err.Error()})
+	}
+	// A task that was withdrawn right after the last proven read must still
+	// die in time: past that, no lease is renewed.
+	if n.store.ProofAge() > n.cfg.ProofLimit() {
+		return http.StatusServiceUnavailable, encode(wire.Fault{Error: "the state service was not reached for too long"})
+	}
+	if c := n.lead.Load(); c != nil {
+		if o, ok := c.CheckIn(&r); ok {
+			return http.StatusOK, encode(o)
+		}
+		return http.StatusMisdirectedRequest, encode(wire.Redirect{})
+	}
+	if !direct {
+		return http.StatusMisdirectedRequest, encode(wire.Redirect{})
+	}
+	if p := n.leader(); p != nil {
+		if !n.cameBack(r.Host) {
+			return http.StatusMisdirectedRequest, encode(wire.Redirect{Dispatcher: p.Label})
+		}
+		// It was sent to the leader and came back: it cannot reach it.
+		if reply, err := p.CheckIn(body); err == nil && reply.Status == http.StatusOK {
+			return reply.Status, reply.Body
+		}
+	}
+	return n.keepLease(&r)
+}
+
+// cameBack notes that a machine is sent to the leader, unless it was sent
+// there within the last lease and has come back.
+func (n *Node) cameBack(host string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	if at, ok := n.redirected[host]; ok && now.Sub(at) < n.cfg.Lease() {
+		return true
+	}
+	n.redirected[host] = now
+	return false
+}
+
+// keepLease answers for a leader that this node cannot reach: the lease goes
+// on, nothing is launched, and what is withdrawn is stopped.
+func (n *Node) keepLease(r *wire.Report) (int, []byte) {
+	v := n.elector.View()
+	if !v.Synced || v.Term == 0 {
+		return http.StatusServiceUnavailable, encode(wire.Fault{Error: "no term is known yet"})
+	}
+	if r.Baton > v.Term {
+		n.elector.Saw(r.Baton, "")
+		return http.StatusMisdirectedRequest, encode(wire.Redirect{})
+	}
+	o := wire.Orders{Baton: v.Term, Orders: []wire.Order{}}
+	for _, l := range r.Legs {
+		if uid, _, ok := wire.SplitLeg(l.Leg); ok && l.Status != wire.LegEnded && n.mirror.Aborted(uid) {
+			o.Orders = append(o.Orders, wire.Order{Verb: wire.Stop, Leg: l.Leg, Try: l.Try})
+		}
+	}
+	n.mu.Lock()
+	n.kept[r.Host] = time.Now()
+	n.mu.Unlock()
+	return http.StatusOK, encode(o)
+}
--- /dev/null
+++ b/internal/api/node.go
@@ -0,0 +1,276 @@
+// Package api is one controller node as users, workers and peers meet it.
+package api
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/cloud"
+	"lotusstile.dev/lotusstile/internal/config"
+	"lotusstile.dev/lotusstile/internal/controller"
+	"lotusstile.dev/lotusstile/internal/election"
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/peer"
+	"lotusstile.dev/lotusstile/internal/store"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// Node is one controller node.
+type Node struct {
+	cfg     *config.Config
+	store   *store.Client
+	cloud   *cloud.Client
+	mirror  *ledger.Mirror
+	elector *election.Elector
+	peers   []*peer.Peer
+	workers *http.Client
+
+	lead     atomic.Pointer[controller.Controller]
+	cat      atomic.Pointer[wire.Catalog]
+	settings atomic.Pointer[stampedSettings]
+	finals   finals
+
+	mu         sync.Mutex
+	redirected map[string]time.Time // by machine: when it was last sent to the leader
+	kept       map[string]time.Time // by machine: when this node kept its lease
+}
+
+type stampedSettings struct {
+	ledger.Settings
+	Stamp uint64
+}
+
+// New makes a node.
+func New(cfg *config.Config) *Node {
+	timeout := cfg.Lease() / 5
+	st := cfg.Cluster.State
+	n := &Node{
+		cfg: cfg,
+		// Followers need little, the leader most: each may use over half.
+		store:      store.New(cfg.Services.State, st.Rps*0.6, st.WriteRps*0.6, timeout),
+		cloud:      cloud.New(cfg.Services.Cloud, cfg.Cluster.Cloud.Rps*0.7, timeout),
+		mirror:     ledger.NewMirror(),
+		peers:      peer.Peers(cfg, cfg.HoldTTL()/4),
+		redirected: map[string]time.Time{},
+		kept:       map[string]time.Time{},
+		workers: &http.Client{Timeout: cfg.ReportEvery(), Transport: &http.Transport{
+			DialContext: (&net.Dialer{Timeout: cfg.ReportEvery() / 2}).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: cfg.ReportEvery(), DisableCompression: true}},
+	}
+	n.finals.known = map[string]wire.JobStatus{}
+	n.settings.Store(&stampedSettings{Settings: ledger.DefaultSettings(cfg.Cluster.Workers.ReportS)})
+	n.elector = election.New(n.store, cfg.Label, cfg.HoldTTL(), n.leadTerm)
+	return n
+}
+
+// Run serves until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	mesh, err := net.Listen("tcp", n.cfg.MeshAddr)
+	if err != nil {
+		return fmt.Errorf("listen on mesh_addr: %w", err)
+	}
+	users, err := net.Listen("tcp", n.cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	errs := make(chan error, 2)
+	go func() { errs <- peer.Serve(mesh, n) }()
+	go func() { errs <- n.serve(users) }()
+	hold, pause := n.cfg.Lease(), n.cfg.HoldTTL()/8
+	go n.mirror.Run(ctx, n.store, hold, pause)
+	go ledger.Follow(ctx, n.store, ledger.SettingsPrefix, 3*hold, pause, n.resetSettings, n.changeSettings)
+	go n.elector.Run(ctx)
+	go n.readCatalog(ctx)
+	for _, p := range n.peers {
+		go n.ping(ctx, p)
+	}
+	slog.Info("serving", "label", n.cfg.Label, "listen", n.cfg.Listen, "mesh", n.cfg.MeshAddr)
+	select {
+	case <-ctx.Done():
+	case err = <-errs:
+	}
+	mesh.Close()
+	users.Close()
+	return err
+}
+
+func (n *Node) leadTerm(ctx context.Context, term uint64) {
+	c := controller.New(controller.Deps{Config: n.cfg, Store: n.store, Cloud: n.cloud, Worker: n, Mirror: n.mirror,
+		Settings: func() ledger.Settings { return n.settings.Load().Settings },
+		Saw:      func(t uint64) { n.elector.Saw(t, "") }, Heard: n.heard}, term)
+	n.lead.Store(c)
+	defer n.lead.Store(nil)
+	c.Run(ctx)
+}
+
+func (n *Node) resetSettings(rows []wire.Item, _ uint64) {
+	for _, row := range rows {
+		n.takeSettings(row.Key, row.Value, row.Stamp)
+	}
+}
+
+func (n *Node) changeSettings(ch wire.News) { n.takeSettings(ch.Set, ch.Value, ch.Stamp) }
+
+func (n *Node) takeSettings(key string, value json.RawMessage, stamp uint64) {
+	if key != ledger.SettingsKey || stamp <= n.settings.Load().Stamp {
+		return
+	}
+	s := stampedSettings{Settings: ledger.DefaultSettings(n.cfg.Cluster.Workers.ReportS), Stamp: stamp}
+	if err := json.Unmarshal(value, &s.Settings); err != nil || s.Check() != nil {
+		slog.Error("stored settings are not valid", "err", err)
+		return
+	}
+	slog.Info("settings in force", "settings", s.Settings, "stamp", stamp)
+	n.settings.Store(&s)
+}
+
+// readCatalog learns the machine types, which submissions are checked against.
+func (n *Node) readCatalog(ctx context.Context) {
+	pause := n.cfg.HoldTTL() / 4
+	for ctx.Err() == nil {
+		cat, err := n.cloud.Catalog(ctx)
+		if err == nil && len(cat.Rigs) > 0 {
+			n.cat.Store(&cat)
+			return
+		}
+		slog.Warn("no catalog yet", "err", err)
+		time.Sleep(pause)
+		pause = min(2*pause, n.cfg.Lease())
+	}
+}
+
+// ping keeps in touch with a peer.
+func (n *Node) ping(ctx context.Context, p *peer.Peer) {
+	for ctx.Err() == nil {
+		if r, err := p.Ping(peer.PingArgs{From: n.cfg.Label, Term: n.elector.View().Term}); err != nil {
+			slog.Debug("peer not reached", "peer", p.Label, "err", err)
+		} else if r.Leading {
+			n.elector.Saw(r.Term, p.Label)
+		}
+		time.Sleep(n.cfg.HoldTTL() / 4)
+	}
+}
+
+// Ping answers a peer.
+func (n *Node) Ping(a peer.PingArgs) peer.PingReply {
+	r := peer.PingReply{Term: n.elector.View().Term, Serving: n.serving(), Heard: n.keptLately()}
+	if c := n.lead.Load(); c != nil {
+		r.Leading, r.Term = true, c.Term()
+		if a.Term > c.Term() {
+			n.elector.Saw(a.Term, "")
+		}
+	}
+	return r
+}
+
+// Counts answers a peer that wants to tell a user how a job stands.
+func (n *Node) Counts(a peer.CountsArgs) peer.CountsReply {
+	c := n.lead.Load()
+	if c == nil {
+		return peer.CountsReply{}
+	}
+	done, running, ok := c.Counts(a.Uid)
+	return peer.CountsReply{Known: ok, Done: done, Running: running}
+}
+
+// leader is the peer that leads, if it answers pings.
+func (n *Node) leader() *peer.Peer {
+	v := n.elector.View()
+	for _, p := range n.peers {
+		if p.Label != v.Leader {
+			continue
+		}
+		if r, ok := p.Last(n.cfg.HoldTTL() * 3 / 4); ok && r.Leading && r.Term >= v.Term {
+			return p
+		}
+	}
+	return nil
+}
+
+// serving reports whether this node has read the state service lately.
+func (n *Node) serving() bool { return n.store.ProofAge() < n.cfg.HoldTTL()*3/2 }
+
+func (n *Node) keptLately() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var ids []string
+	now := time.Now()
+	for id, at := range n.kept {
+		if now.Sub(at) < n.cfg.HoldTTL() {
+			ids = append(ids, id)
+		} else {
+			delete(n.kept, id)
+		}
+	}
+	return ids
+}
+
+// heard is which machines peers answer in the leader's place.
+func (n *Node) heard() []string {
+	var ids []string
+	for _, p := range n.peers {
+		if r, ok := p.Last(n.cfg.HoldTTL()); ok {
+			ids = append(ids, r.Heard...)
+		}
+	}
+	return ids
+}
+
+// Announce tells a worker a token by an empty direct command.
+func (n *Node) Announce(ctx context.Context, address string, baton, shift uint64) (wire.Report, error) {
+	body, err := json.Marshal(wire.Direct{Baton: baton, Shift: shift, Orders: []wire.Order{}})
+	if err != nil {
+		return wire.Report{}, fmt.Errorf("encode: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/do", bytes.NewReader(body))
+	if err != nil {
+		return wire.Report{}, fmt.Errorf("request: %w", err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := n.workers.Do(req)
+	if err != nil {
+		return wire.Report{}, fmt.Errorf("announce: %w", err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, 4*wire.MaxBody))
+	if err != nil {
+		return wire.Report{}, fmt.Errorf("announce: %w", err)
+	}
+	return wire.ParseReport(data)
+}
+
+// finals remembers final statuses for ever, or rather for as long as they fit:
+// they can be read again.
+type finals struct {
+	mu    sync.Mutex
+	known map[string]wire.JobStatus
+}
+
+const maxFinals = 20_000
+
+func (f *finals) get(uid string) (wire.JobStatus, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.known[uid]
+	return s, ok
+}
+
+func (f *finals) put(uid string, s wire.JobStatus) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.known) >= maxFinals {
+		for k := range f.known {
+			delete(f.known, k)
+			break
+		}
+	}
+	f.known[uid] = s
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,182 @@
+// Package config reads and checks the settings file that the platform hands
+// over. Operators' own settings live in package ledger and are changed through
+// the administration API.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Member is another controller.
+type Member struct {
+	Label    string `toml:"label"`
+	Location string `toml:"location"`
+	Endpoint string `toml:"endpoint"`
+}
+
+// Team is a team's guarantee and limit; 0 means none.
+type Team struct {
+	Name    string  `toml:"name"`
+	Cpus    float64 `toml:"cpus"`
+	CpusMax float64 `toml:"cpus_max"`
+	Gpus    float64 `toml:"gpus"`
+	GpusMax float64 `toml:"gpus_max"`
+}
+
+// Objective restates one aim of the users.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+}
+
+// Config is the whole settings file.
+type Config struct {
+	Label    string   `toml:"label"`
+	Location string   `toml:"location"`
+	Listen   string   `toml:"listen"`
+	MeshAddr string   `toml:"mesh_addr"`
+	Members  []Member `toml:"members"`
+	Services struct {
+		Cloud string `toml:"cloud"`
+		State string `toml:"state"`
+	} `toml:"services"`
+	Cluster struct {
+		Size       int         `toml:"size"`
+		Zones      []string    `toml:"zones"`
+		SkewMs     float64     `toml:"skew_ms"`
+		Teams      []Team      `toml:"teams"`
+		Objectives []Objective `toml:"objectives"`
+		Workers    struct {
+			ReportS float64 `toml:"report_s"`
+			LeaseS  float64 `toml:"lease_s"`
+			CancelS float64 `toml:"cancel_s"`
+		} `toml:"workers"`
+		State struct {
+			Rps      float64 `toml:"rps"`
+			WriteRps float64 `toml:"write_rps"`
+			ValueKb  float64 `toml:"value_kb"`
+			TxnOps   int     `toml:"txn_ops"`
+		} `toml:"state"`
+		Cloud struct {
+			Rps      float64 `toml:"rps"`
+			ListLagS float64 `toml:"list_lag_s"`
+		} `toml:"cloud"`
+		Limits struct {
+			Cores          float64 `toml:"cores"`
+			MemMb          float64 `toml:"mem_mb"`
+			MaxConnections int     `toml:"max_connections"`
+		} `toml:"machine_limits"`
+	} `toml:"cluster"`
+}
+
+// Load reads and checks the file at path. Its error joins one error per fault.
+func Load(path string) (*Config, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	return Parse(data)
+}
+
+// Parse decodes and checks settings.
+func Parse(data []byte) (*Config, error) {
+	var c Config
+	if err := toml.Unmarshal(data, &c); err != nil {
+		return nil, fmt.Errorf("settings are not valid TOML: %w", err)
+	}
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	return &c, nil
+}
+
+func (c *Config) check() error {
+	var faults []error
+	fault := func(bad bool, format string, args ...any) {
+		if bad {
+			faults = append(faults, fmt.Errorf(format, args...))
+		}
+	}
+	fault(c.Label == "", "label is missing")
+	addr := func(name, value string) {
+		if _, _, err := net.SplitHostPort(value); err != nil {
+			fault(true, "%s %q is not host:port", name, value)
+		}
+	}
+	addr("listen", c.Listen)
+	addr("mesh_addr", c.MeshAddr)
+	addr("services.cloud", c.Services.Cloud)
+	addr("services.state", c.Services.State)
+	seen := map[string]bool{c.Label: true}
+	for i, m := range c.Members {
+		fault(m.Label == "", "members[%d].label is missing", i)
+		fault(seen[m.Label], "members[%d].label %q is not unique", i, m.Label)
+		seen[m.Label] = true
+		addr(fmt.Sprintf("members[%d].endpoint", i), m.Endpoint)
+	}
+	cl := &c.Cluster
+	fault(len(cl.Teams) == 0, "cluster.teams is empty")
+	for i, t := range cl.Teams {
+		fault(t.Name == "", "cluster.teams[%d].name is missing", i)
+		fault(t.Cpus < 0 || t.CpusMax < 0 || t.Gpus < 0 || t.GpusMax < 0, "cluster.teams[%d] has a negative amount", i)
+	}
+	positive := func(name string, v float64) { fault(v <= 0, "%s must be above 0", name) }
+	positive("cluster.workers.report_s", cl.Workers.ReportS)
+	positive("cluster.workers.lease_s", cl.Workers.LeaseS)
+	positive("cluster.workers.cancel_s", cl.Workers.CancelS)
+	positive("cluster.state.rps", cl.State.Rps)
+	positive("cluster.state.write_rps", cl.State.WriteRps)
+	positive("cluster.state.value_kb", cl.State.ValueKb)
+	fault(cl.State.TxnOps < 4, "cluster.state.txn_ops must be at least 4")
+	positive("cluster.cloud.rps", cl.Cloud.Rps)
+	positive("cluster.machine_limits.cores", cl.Limits.Cores)
+	positive("cluster.machine_limits.mem_mb", cl.Limits.MemMb)
+	fault(cl.Limits.MaxConnections < 8, "cluster.machine_limits.max_connections must be at least 8")
+	fault(cl.Workers.ReportS > 0 && cl.Workers.LeaseS < 2*cl.Workers.ReportS, "cluster.workers.lease_s must be at least twice report_s")
+	fault(cl.Workers.CancelS > 0 && cl.Workers.CancelS <= cl.Workers.LeaseS, "cluster.workers.cancel_s must be above lease_s")
+	return errors.Join(faults...)
+}
+
+// Team finds a team by name.
+func (c *Config) Team(name string) (Team, bool) {
+	for _, t := range c.Cluster.Teams {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return Team{}, false
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Lease is how long a worker keeps its tasks without an answered report.
+func (c *Config) Lease() time.Duration { return seconds(c.Cluster.Workers.LeaseS) }
+
+// ReportEvery is the interval of workers' reports.
+func (c *Config) ReportEvery() time.Duration { return seconds(c.Cluster.Workers.ReportS) }
+
+// ListLag is the usual age of the cloud's machine list.
+func (c *Config) ListLag() time.Duration { return seconds(c.Cluster.Cloud.ListLagS) }
+
+// HoldTTL is the time to live of the leader's hold: a fifth of the workers'
+// lease, so that a successor has most of a lease left to gather the workers.
+func (c *Config) HoldTTL() time.Duration { return c.Lease() / 5 }
+
+// ProofLimit is the oldest that the last proven read of the state service may
+// be for a node to go on keeping leases. A task that was withdrawn right after
+// that read then still dies by its lease within cancel_s; a tenth of the lease
+// is kept as a margin.
+func (c *Config) ProofLimit() time.Duration {
+	return seconds(c.Cluster.Workers.CancelS) - c.Lease() - c.Lease()/10
+}
+
+// ValueBytes is the largest value that the project writes.
+func (c *Config) ValueBytes() int { return int(c.Cluster.State.ValueKb * 1024) }
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,421 @@
+// Package controller is the leader at work: it keeps the picture, runs the
+// rounds, writes what they decide, answers workers and looks after machines.
+// One Controller lives for one term.
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"maps"
+	"strings"
+	"sync"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/config"
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/provision"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// Store is what a controller needs of the state service.
+type Store interface {
+	Get(ctx context.Context, key string) (wire.Item, bool, error)
+	List(ctx context.Context, under string) ([]wire.Item, uint64, error)
+	Commit(ctx context.Context, tx wire.Commit) (uint64, error)
+}
+
+// Cloud is what it needs of the cloud.
+type Cloud interface {
+	Catalog(ctx context.Context) (wire.Catalog, error)
+	Rent(ctx context.Context, r wire.RentRequest) ([]string, error)
+	Return(ctx context.Context, hosts []string) error
+	List(ctx context.Context) ([]wire.ListedHost, error)
+}
+
+// Worker is what it needs of workers.
+type Worker interface {
+	// Announce tells a worker the term's token. It returns the worker's
+	// session and the highest token the worker has seen.
+	Announce(ctx context.Context, address string, baton, shift uint64) (wire.Report, error)
+}
+
+// Deps is what a controller works with.
+type Deps struct {
+	Config   *config.Config
+	Store    Store
+	Cloud    Cloud
+	Worker   Worker
+	Mirror   *ledger.Mirror
+	Settings func() ledger.Settings
+	Saw      func(term uint64) // a newer term was seen
+	Heard    func() []string   // machines that peers answer
+}
+
+// Controller leads one term.
+type Controller struct {
+	Deps
+	term uint64
+	wake chan struct{} // the writer has work
+	now  func() time.Time
+
+	mu      sync.Mutex
+	cancel  context.CancelFunc
+	loaded  bool
+	begun   time.Time
+	fleet   *fleet.Fleet
+	jobs    map[string]*job
+	cat     *wire.Catalog
+	rents   int // counter in booking names
+	pending map[string]*rental
+	refused map[provision.Group]refusal
+	window  int
+	returns returner
+	arrive  map[string]*arrivals
+	told    map[string]time.Time // announcements
+	last    RoundInfo
+	steady  time.Time
+}
+
+// RoundInfo describes the last round.
+type RoundInfo struct {
+	At        time.Time
+	TookMs    float64
+	Window    int
+	Waiting   int
+	Started   int
+	Stopped   int
+	Short     int
+	Objective float64
+	Reserved  string
+	Overrun   bool
+}
+
+// New makes the controller of a term.
+func New(d Deps, term uint64) *Controller {
+	c := &Controller{Deps: d, term: term, wake: make(chan struct{}, 1), now: time.Now,
+		jobs: map[string]*job{}, pending: map[string]*rental{}, refused: map[provision.Group]refusal{},
+		arrive: map[string]*arrivals{}, told: map[string]time.Time{}}
+	c.fleet = fleet.New(term, d.Config.Lease(), c)
+	c.returns.recs = map[string]*hostRec{}
+	c.begun = c.now()
+	c.window = d.Settings().Window
+	return c
+}
+
+// Term is the term it leads.
+func (c *Controller) Term() uint64 { return c.term }
+
+// Run leads until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.mu.Lock()
+	c.cancel = cancel
+	c.mu.Unlock()
+	c.Mirror.Listen(c.jobEvent)
+	defer c.Mirror.Listen(nil)
+	pause := c.Config.HoldTTL() / 10
+	for {
+		err := c.load(ctx)
+		if err == nil {
+			break
+		}
+		slog.Warn("cannot load the picture", "term", c.term, "err", err)
+		if !sleep(ctx, pause) {
+			return
+		}
+	}
+	var wg sync.WaitGroup
+	for _, f := range []func(context.Context){c.writer, c.rounds, c.lists, c.returning, c.announcing} {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f(ctx)
+		}()
+	}
+	wg.Wait()
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// depose ends the term: a newer one is known to exist.
+func (c *Controller) depose(why string) {
+	slog.Info("term is over", "term", c.term, "why", why)
+	c.mu.Lock()
+	cancel := c.cancel
+	c.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+// load rebuilds the picture from the records. Until it is loaded, reports keep
+// their leases and get no orders.
+func (c *Controller) load(ctx context.Context) error {
+	jobs, _, err := c.Store.List(ctx, ledger.JobPrefix)
+	if err != nil {
+		return err
+	}
+	pieces, _, err := c.Store.List(ctx, ledger.PiecePrefix)
+	if err != nil {
+		return err
+	}
+	hosts, _, err := c.Store.List(ctx, ledger.HostPrefix)
+	if err != nil {
+		return err
+	}
+	for _, row := range jobs {
+		var rec ledger.Job
+		if err := json.Unmarshal(row.Value, &rec); err != nil {
+			return fmt.Errorf("job record %s: %w", row.Key, err)
+		}
+		c.jobEvent(strings.TrimPrefix(row.Key, ledger.JobPrefix), ledger.Entry{Job: &rec, Stamp: row.Stamp})
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	for _, row := range hosts {
+		id := strings.TrimPrefix(row.Key, ledger.HostPrefix)
+		m := c.fleet.Know(id, now)
+		c.fleet.Return(m, now, "return was attempted in an earlier term")
+		c.returns.recs[id] = &hostRec{stamp: row.Stamp}
+	}
+	inherited := 0
+	for _, row := range pieces {
+		uid, n, ok := ledger.SplitPieceKey(row.Key)
+		j := c.jobs[uid]
+		if !ok || j == nil {
+			slog.Warn("placement without a job", "key", row.Key)
+			continue
+		}
+		if j.pieces[n] != nil {
+			continue // an earlier try at loading got this far
+		}
+		for _, pl := range j.load(n, row) {
+			m := c.fleet.Know(pl.Host, now)
+			a := &fleet.Attempt{Uid: uid, Leg: pl.Leg, Try: pl.Try, Shift: pl.Shift, Need: j.need,
+				Image: j.rec.Spec.Rollout, Inherited: true}
+			j.pieces[n].live[pl.Leg] = a
+			j.live++
+			c.fleet.Place(m, a, now)
+			inherited++
+		}
+	}
+	for _, j := range c.jobs {
+		if j.rec.Status == wire.JobAborted {
+			j.each(func(a *fleet.Attempt) { c.fleet.StopAttempt(a, 0, now, "withdrawn") })
+		}
+	}
+	c.loaded = true
+	c.steady = now
+	slog.Info("picture loaded", "term", c.term, "jobs", len(c.jobs), "attempts", inherited, "returning", len(hosts))
+	return nil
+}
+
+// jobEvent takes a change of a job's record into the picture.
+func (c *Controller) jobEvent(uid string, e ledger.Entry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.takeJob(uid, e)
+}
+
+func (c *Controller) takeJob(uid string, e ledger.Entry) {
+	now := c.now()
+	j := c.jobs[uid]
+	switch {
+	case e.Job == nil:
+		if j != nil && e.Stamp >= j.stamp {
+			c.dropJob(j, now)
+		}
+	case j == nil:
+		c.jobs[uid] = newJob(uid, e, now)
+		c.arrived(c.jobs[uid], now)
+	case e.Stamp > j.stamp:
+		wasFinal := j.rec.Status.Final()
+		j.rec, j.stamp = e.Job, e.Stamp
+		if !wasFinal && e.Job.Status == wire.JobAborted {
+			slog.Info("job withdrawn", "uid", uid)
+			j.each(func(a *fleet.Attempt) { c.fleet.StopAttempt(a, 0, now, "withdrawn") })
+			c.poke()
+		}
+	}
+}
+
+// dropJob forgets a job that is archived.
+func (c *Controller) dropJob(j *job, now time.Time) {
+	delete(c.jobs, j.uid)
+	j.each(func(a *fleet.Attempt) { c.fleet.StopAttempt(a, 0, now, "job is archived") })
+	for _, p := range j.pieces {
+		for _, a := range p.ended {
+			c.fleet.Record(a, now)
+		}
+		p.ended = nil
+	}
+}
+
+func (c *Controller) poke() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// CheckIn answers a worker's report. ok is false if the report shows that this
+// term is over.
+func (c *Controller) CheckIn(r *wire.Report) (o wire.Orders, ok bool) {
+	if r.Baton > c.term {
+		c.Saw(r.Baton)
+		c.depose("a worker has seen a higher token")
+		return wire.Orders{}, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o = wire.Orders{Baton: c.term, Orders: []wire.Order{}}
+	if !c.loaded {
+		return o, true
+	}
+	now := c.now()
+	m, fresh := c.fleet.Report(r, now)
+	if !fresh {
+		return o, true
+	}
+	c.capacity(m)
+	o.Orders = c.fleet.Orders(m, now, true)
+	return o, true
+}
+
+// capacity fills in what a machine of its type offers.
+func (c *Controller) capacity(m *fleet.Machine) {
+	if c.cat == nil || m.Rig == "" {
+		return
+	}
+	for i := range c.cat.Rigs {
+		if c.cat.Rigs[i].Sku == m.Rig {
+			m.Cap = provision.Cap(&c.cat.Rigs[i])
+		}
+	}
+}
+
+func (c *Controller) rig(sku string) *wire.Rig {
+	if c.cat == nil {
+		return nil
+	}
+	for i := range c.cat.Rigs {
+		if c.cat.Rigs[i].Sku == sku {
+			return &c.cat.Rigs[i]
+		}
+	}
+	return nil
+}
+
+// Counts tells how many tasks of a job are done and running.
+func (c *Controller) Counts(uid string) (done, running int, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobs[uid]
+	if j == nil || !c.loaded {
+		return 0, 0, false
+	}
+	return j.done, j.running(), true
+}
+
+// MachineChanged logs a machine's change of state.
+func (c *Controller) MachineChanged(m *fleet.Machine, from fleet.MachineState, why string) {
+	slog.Info("machine", "host", m.ID, "from", from.String(), "to", m.State.String(), "shift", m.Shift, "why", why)
+}
+
+// AttemptChanged keeps the jobs in step with their attempts.
+func (c *Controller) AttemptChanged(a *fleet.Attempt, from fleet.AttemptState, why string) {
+	slog.Info("attempt", "leg", a.Name(), "try", a.Try, "host", a.Machine.ID, "from", from.String(), "to", a.State.String(), "why", why)
+	j := c.jobs[a.Uid]
+	if j == nil {
+		if a.State == fleet.Ended {
+			c.fleet.Record(a, c.now()) // its job is archived: nothing to record
+		}
+		return
+	}
+	p := j.piece(a.Leg)
+	if from < fleet.Ended && !a.Live() && p.live[a.Leg] == a {
+		delete(p.live, a.Leg)
+		j.live--
+		j.freed = append(j.freed, a.Leg)
+		if j.live == 0 {
+			j.waitFrom = c.now()
+		}
+		p.touch()
+		c.poke()
+	}
+	if a.State == fleet.Ended {
+		c.ended(j, p, a)
+	}
+}
+
+// ended takes the end of an attempt into its job.
+func (c *Controller) ended(j *job, p *piece, a *fleet.Attempt) {
+	now := c.now()
+	i := a.Leg % j.rec.Per
+	switch a.Cause {
+	case wire.CauseDone:
+		if !p.done.DoneBit(i) {
+			p.done.SetDone(i)
+			j.done++
+		}
+		j.fails = 0
+		clear(a.Machine.Errors)
+	case wire.CauseError:
+		c.blame(j, a.Machine, now)
+	case wire.CauseNoRoom, wire.CauseInUse, wire.CauseNoSuch:
+		j.avoid[a.Machine.ID] = now
+	}
+	if j.rec.Status.Final() {
+		// Nothing of a withdrawn job is ever launched again, so its end need
+		// not be recorded before it is reaped.
+		c.fleet.Record(a, now)
+		return
+	}
+	p.ended = append(p.ended, a)
+}
+
+// blame decides who is at fault for an error. A job that fails on a second
+// machine is taken to be mistaken itself: it backs off and condemns nobody. A
+// machine that fails several jobs is passed over for a while.
+func (c *Controller) blame(j *job, m *fleet.Machine, now time.Time) {
+	lease := c.Config.Lease()
+	maps.DeleteFunc(j.avoid, func(_ string, at time.Time) bool { return now.Sub(at) > 12*lease })
+	j.avoid[m.ID] = now
+	j.fails++
+	if len(j.avoid) >= 2 && len(m.Errors) == 0 {
+		j.hold = now.Add(min(3*lease, time.Second<<min(j.fails-2, 10)))
+		slog.Info("job fails on several machines", "uid", j.uid, "fails", j.fails)
+		return
+	}
+	m.Errors[j.uid] = now
+	rest := lease
+	if len(m.Errors) >= 2 {
+		rest = 6 * lease
+	}
+	m.SickTill = now.Add(rest)
+	slog.Info("machine passed over", "host", m.ID, "jobs", len(m.Errors), "for", rest.String())
+}
+
+// refresh takes a job's record, as just read, into the picture.
+func (c *Controller) refresh(uid string, item wire.Item) {
+	var rec ledger.Job
+	if err := json.Unmarshal(item.Value, &rec); err != nil {
+		slog.Error("job record cannot be read", "uid", uid, "err", err)
+		return
+	}
+	c.jobEvent(uid, ledger.Entry{Job: &rec, Stamp: item.Stamp})
+}
--- /dev/null
+++ b/internal/controller/job.go
@@ -0,0 +1,148 @@
+package controller
+
+import (
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// piece is a part of a job's placement and the stamp of its record.
+type piece struct {
+	job    *job
+	n      int
+	stamp  uint64
+	next   uint64
+	done   ledger.Piece // only Done is used
+	live   map[int]*fleet.Attempt
+	ended  []*fleet.Attempt // ended, not yet recorded so
+	seq    int              // counts changes
+	dirty  bool
+	unsure bool // the outcome of a commit is unknown: read before writing
+}
+
+// job is the leader's picture of a job.
+type job struct {
+	uid      string
+	rec      *ledger.Job
+	stamp    uint64
+	level    int
+	need     fleet.Res
+	pieces   map[int]*piece
+	done     int
+	live     int
+	freed    []int // tasks that wait again
+	cursor   int   // tasks from here on were never placed
+	waitFrom time.Time
+	avoid    map[string]time.Time // machines it failed on
+	fails    int
+	hold     time.Time // not placed before
+	unsure   bool      // the outcome of its archiving is unknown
+}
+
+func newJob(uid string, e ledger.Entry, now time.Time) *job {
+	return &job{uid: uid, rec: e.Job, stamp: e.Stamp, level: e.Job.Spec.Rank.Level(), need: fleet.Need(&e.Job.Spec),
+		pieces: map[int]*piece{}, waitFrom: now, avoid: map[string]time.Time{}}
+}
+
+// load takes a record of a piece into the job.
+func (j *job) load(n int, row wire.Item) []ledger.Placed {
+	var rec ledger.Piece
+	if err := json.Unmarshal(row.Value, &rec); err != nil {
+		slog.Error("placement record cannot be read", "key", row.Key, "err", err)
+		return nil
+	}
+	p := &piece{job: j, n: n, stamp: row.Stamp, next: rec.Next, live: map[int]*fleet.Attempt{}}
+	p.done.Done = rec.Done
+	j.pieces[n] = p
+	for i := range j.rec.Per {
+		if n*j.rec.Per+i < j.rec.Spec.Legs && rec.DoneBit(i) {
+			j.done++
+		}
+	}
+	return rec.Live
+}
+
+// piece finds or makes the piece that a task belongs to.
+func (j *job) piece(leg int) *piece {
+	n := leg / j.rec.Per
+	p := j.pieces[n]
+	if p == nil {
+		p = &piece{job: j, n: n, next: 1, live: map[int]*fleet.Attempt{}}
+		j.pieces[n] = p
+	}
+	return p
+}
+
+func (j *job) isDone(leg int) bool {
+	p := j.pieces[leg/j.rec.Per]
+	return p != nil && p.done.DoneBit(leg%j.rec.Per)
+}
+
+func (j *job) attempt(leg int) *fleet.Attempt {
+	if p := j.pieces[leg/j.rec.Per]; p != nil {
+		return p.live[leg]
+	}
+	return nil
+}
+
+func (j *job) waiting() int {
+	if j.rec.Status.Final() {
+		return 0
+	}
+	return max(0, j.rec.Spec.Legs-j.done-j.live)
+}
+
+// pick takes up to n tasks that wait.
+func (j *job) pick(n int) []int {
+	var legs []int
+	for len(legs) < n && len(j.freed) > 0 {
+		leg := j.freed[len(j.freed)-1]
+		j.freed = j.freed[:len(j.freed)-1]
+		if !j.isDone(leg) && j.attempt(leg) == nil {
+			legs = append(legs, leg)
+		}
+	}
+	for ; len(legs) < n && j.cursor < j.rec.Spec.Legs; j.cursor++ {
+		if !j.isDone(j.cursor) && j.attempt(j.cursor) == nil {
+			legs = append(legs, j.cursor)
+		}
+	}
+	return legs
+}
+
+// each calls f for every attempt of the job that may be on its machine.
+func (j *job) each(f func(a *fleet.Attempt)) {
+	for _, p := range j.pieces {
+		for _, a := range p.live {
+			f(a)
+		}
+	}
+}
+
+func (j *job) running() int {
+	n := 0
+	j.each(func(a *fleet.Attempt) {
+		if a.State == fleet.Running || a.State == fleet.Saving {
+			n++
+		}
+	})
+	return n
+}
+
+// record makes the record of the piece as it stands.
+func (p *piece) record() ledger.Piece {
+	rec := ledger.Piece{Next: p.next, Done: p.done.Done}
+	for _, a := range p.live {
+		rec.Live = append(rec.Live, ledger.Placed{Leg: a.Leg, Try: a.Try, Host: a.Machine.ID, Shift: a.Shift})
+	}
+	return rec
+}
+
+func (p *piece) touch() {
+	p.seq++
+	p.dirty = true
+}
--- /dev/null
+++ b/internal/controller/machines.go
@@ -0,0 +1,403 @@
+package controller
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/cloud"
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/provision"
+	"lotusstile.dev/lotusstile/internal/store"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// rental is a request to the cloud that is not answered yet.
+type rental struct{ req wire.RentRequest }
+
+// refusal remembers that the cloud had no capacity for a group.
+type refusal struct {
+	until time.Time
+	pause time.Duration
+}
+
+// hostRec is the record that a machine's return was attempted.
+type hostRec struct {
+	stamp  uint64 // 0: not committed yet
+	sentAt time.Time
+	goneAt time.Time // when the cloud confirmed
+}
+
+// returner holds what is to be returned.
+type returner struct{ recs map[string]*hostRec }
+
+// book names a rental: the term and a counter make names that no node uses
+// again.
+func (c *Controller) book(r provision.Rent) *rental {
+	c.rents++
+	req := wire.RentRequest{Booking: fmt.Sprintf("lt-%d-%d", c.term, c.rents), Rig: r.Rig, Yard: r.Yard, Standby: r.Standby, HowMany: r.Count}
+	out := &rental{req}
+	c.pending[req.Booking] = out
+	return out
+}
+
+// rent asks the cloud until it answers, for a while.
+func (c *Controller) rent(ctx context.Context, r *rental) {
+	pause := c.Config.ListLag() / 4
+	group := provision.Group{Rig: r.req.Rig, Yard: r.req.Yard, Standby: r.req.Standby}
+	for try := 0; try < 4 && ctx.Err() == nil; try++ {
+		hosts, err := c.Cloud.Rent(ctx, r.req)
+		if err == nil {
+			slog.Info("rented", "booking", r.req.Booking, "rig", r.req.Rig, "yard", r.req.Yard, "standby", r.req.Standby, "asked", r.req.HowMany, "hosts", hosts)
+			c.mu.Lock()
+			now := c.now()
+			delete(c.pending, r.req.Booking)
+			delete(c.refused, group)
+			if len(hosts) < r.req.HowMany {
+				c.refuse(group, now)
+			}
+			for _, h := range hosts {
+				m := c.fleet.Know(h, now)
+				m.Rig, m.Yard, m.Standby = r.req.Rig, r.req.Yard, r.req.Standby
+				c.capacity(m)
+			}
+			c.mu.Unlock()
+			return
+		}
+		slog.Info("rental failed", "booking", r.req.Booking, "rig", r.req.Rig, "yard", r.req.Yard, "standby", r.req.Standby, "err", err)
+		if errors.Is(err, cloud.ErrNoCapacity) {
+			c.mu.Lock()
+			c.refuse(group, c.now())
+			c.mu.Unlock()
+			break
+		}
+		sleep(ctx, pause)
+		pause *= 2
+	}
+	c.mu.Lock()
+	delete(c.pending, r.req.Booking)
+	c.mu.Unlock()
+}
+
+// refuse passes a group over for a while, longer each time.
+func (c *Controller) refuse(g provision.Group, now time.Time) {
+	pause := min(max(c.refused[g].pause*2, c.Config.Lease()/2), 3*c.Config.Lease())
+	c.refused[g] = refusal{now.Add(pause), pause}
+}
+
+// lists reads the machine list and the prices from time to time.
+func (c *Controller) lists(ctx context.Context) {
+	every := max(c.Config.ListLag()*2/3, time.Duration(float64(8*time.Second)/c.Config.Cluster.Cloud.Rps))
+	var priced time.Time
+	for ctx.Err() == nil {
+		if now := c.now(); priced.IsZero() || now.Sub(priced) > 3*c.Config.Lease() {
+			cat, err := c.Cloud.Catalog(ctx)
+			if err != nil {
+				slog.Warn("no catalog", "err", err)
+			} else if len(cat.Rigs) > 0 {
+				priced = now
+				c.mu.Lock()
+				c.cat = &cat
+				c.fleet.Each(c.capacity)
+				c.mu.Unlock()
+			}
+		}
+		asked := c.now()
+		hosts, err := c.Cloud.List(ctx)
+		if err != nil {
+			slog.Warn("no machine list", "err", err)
+		} else {
+			c.listed(hosts, asked)
+		}
+		if !sleep(ctx, every) {
+			return
+		}
+	}
+}
+
+// listed takes a machine list into the picture. It may be older than the last.
+func (c *Controller) listed(hosts []wire.ListedHost, asked time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	seen := make(map[string]bool, len(hosts))
+	for i := range hosts {
+		h := &hosts[i]
+		seen[h.Uid] = true
+		m := c.fleet.Know(h.Uid, now)
+		if m.State == fleet.Gone {
+			continue
+		}
+		if !m.Listed {
+			m.Listed = true
+			m.Rig, m.Yard, m.Standby, m.Address = h.Rig, h.Yard, h.Standby, h.Address
+			if born := asked.Add(-time.Duration(h.AgeS * float64(time.Second))); born.Before(m.Born) {
+				m.Born = born
+			}
+			c.capacity(m)
+		}
+		if h.Status == wire.HostFailed {
+			m.Failed = true
+		}
+	}
+	c.fleet.Each(func(m *fleet.Machine) {
+		// Once listed, a machine stays listed until it is gone. A list may be
+		// old, but not older than a machine that was listed long ago.
+		if m.Listed && !seen[m.ID] && now.Sub(m.Born) > 4*c.Config.ListLag()+c.Config.Lease() && now.Sub(m.Heard) > 2*c.Config.ReportEvery() {
+			m.Failed = true
+		}
+		if rec := c.returns.recs[m.ID]; rec != nil && m.State == fleet.Gone && seen[m.ID] {
+			rec.goneAt = now // still listed: keep its record
+		}
+	})
+}
+
+// hear notes the machines that other nodes answer: they are not silent.
+func (c *Controller) hear(now time.Time) {
+	for _, id := range c.Heard() {
+		if m := c.fleet.Get(id); m != nil {
+			m.Heard = now
+		}
+	}
+}
+
+// condemn decides which machines to return because they are lost.
+func (c *Controller) condemn(now time.Time) {
+	heard, silent := 0, 0
+	c.fleet.Each(func(m *fleet.Machine) {
+		switch m.State {
+		case fleet.Ready, fleet.Confirming:
+			heard++
+		case fleet.Silent:
+			silent++
+		}
+	})
+	// If most machines are silent, it is rather this node that is cut off.
+	cutOff := silent > heard
+	lease := c.Config.Lease()
+	c.fleet.Each(func(m *fleet.Machine) {
+		switch {
+		case m.State == fleet.Returning || m.State == fleet.Gone:
+		case m.Failed:
+			c.giveUp(m, now, "failed")
+		case m.State == fleet.Silent && (!cutOff || now.Sub(m.Since) > 3*lease):
+			c.giveUp(m, now, "silent")
+		case m.State == fleet.Booting && m.LiveCount() > 0 && now.Sub(c.steady) > 2*lease && !cutOff:
+			c.giveUp(m, now, "has tasks by the records, but does not report")
+		case m.State == fleet.Booting && m.LiveCount() == 0:
+			boot := 60.0
+			if r := c.rig(m.Rig); r != nil {
+				boot = r.BootS
+			}
+			if now.Sub(m.Born).Seconds() > 3.5*boot && now.Sub(c.steady) > 2*lease {
+				c.giveUp(m, now, "never came up")
+			}
+		case m.Warned && m.LiveCount() == 0 && m.State == fleet.Ready:
+			c.giveUp(m, now, "is being taken back")
+		}
+		if m.Warned {
+			m.Each(func(a *fleet.Attempt) {
+				if j := c.jobs[a.Uid]; j != nil && a.Live() && !a.Stopping {
+					c.fleet.StopAttempt(a, j.rec.Spec.StowS+c.Config.Cluster.Workers.ReportS, now, "spot notice")
+				}
+			})
+		}
+	})
+}
+
+// giveUp starts the return of a machine.
+func (c *Controller) giveUp(m *fleet.Machine, now time.Time, why string) {
+	c.fleet.Return(m, now, why)
+	if c.returns.recs[m.ID] == nil {
+		c.returns.recs[m.ID] = &hostRec{}
+	}
+}
+
+// returning returns machines: first the record, then the request, until the
+// cloud confirms; the record goes once no list shows the machine any more.
+func (c *Controller) returning(ctx context.Context) {
+	pause := c.Config.ReportEvery() / 3
+	for sleep(ctx, pause) {
+		if ids := c.returnsToRecord(); len(ids) > 0 {
+			c.recordReturns(ctx, ids)
+		}
+		if ids := c.returnsToSend(); len(ids) > 0 {
+			err := c.Cloud.Return(ctx, ids)
+			c.mu.Lock()
+			now := c.now()
+			if err != nil {
+				slog.Warn("return failed", "hosts", ids, "err", err)
+			} else {
+				for _, id := range ids {
+					c.returns.recs[id].goneAt = now
+					c.fleet.Confirm(c.fleet.Get(id), now, "returned")
+				}
+			}
+			c.mu.Unlock()
+		}
+		c.forgetReturned(ctx)
+	}
+}
+
+func (c *Controller) returnsToRecord() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ids []string
+	for id, r := range c.returns.recs {
+		if r.stamp == 0 {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids[:min(len(ids), c.Config.Cluster.State.TxnOps)]
+}
+
+func (c *Controller) recordReturns(ctx context.Context, ids []string) {
+	tx := wire.Commit{Guards: []wire.Guard{{Key: ledger.LeaderKey, Stamp: c.term}}}
+	for _, id := range ids {
+		tx.Apply = append(tx.Apply, wire.Change{Set: ledger.HostKey(id), Value: ledger.Encode(ledger.Host{Returning: true})})
+	}
+	epoch, err := c.Store.Commit(ctx, tx)
+	if err != nil {
+		slog.Warn("return not recorded", "hosts", ids, "err", err)
+		c.checkDeposed(err)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range ids {
+		c.returns.recs[id].stamp = epoch
+	}
+}
+
+// checkDeposed ends the term if a commit failed because of the leader's key.
+func (c *Controller) checkDeposed(err error) {
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) && slices.Contains(conflict.Failed, ledger.LeaderKey) {
+		c.depose("the leader's key has changed")
+	}
+}
+
+func (c *Controller) returnsToSend() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ids []string
+	for id, r := range c.returns.recs {
+		if r.stamp != 0 && r.goneAt.IsZero() {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids[:min(len(ids), wire.MaxReturn)]
+}
+
+// forgetReturned drops the records of machines that are gone for long enough
+// that no list shows them.
+func (c *Controller) forgetReturned(ctx context.Context) {
+	keep := 6*c.Config.ListLag() + 3*c.Config.Lease()
+	c.mu.Lock()
+	now := c.now()
+	var ids []string
+	for id, r := range c.returns.recs {
+		if !r.goneAt.IsZero() && now.Sub(r.goneAt) > keep {
+			ids = append(ids, id)
+		}
+	}
+	ids = ids[:min(len(ids), c.Config.Cluster.State.TxnOps)]
+	tx := wire.Commit{Guards: []wire.Guard{{Key: ledger.LeaderKey, Stamp: c.term}}}
+	for _, id := range ids {
+		tx.Apply = append(tx.Apply, wire.Change{Drop: ledger.HostKey(id)})
+	}
+	c.mu.Unlock()
+	if len(ids) == 0 {
+		return
+	}
+	if _, err := c.Store.Commit(ctx, tx); err != nil {
+		slog.Warn("returned machines not forgotten", "err", err)
+		c.checkDeposed(err)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range ids {
+		delete(c.returns.recs, id)
+		c.fleet.Forget(id)
+	}
+}
+
+// announcing tells the token to workers that do not report: they may sit at a
+// deposed leader that still answers them.
+func (c *Controller) announcing(ctx context.Context) {
+	every := c.Config.ReportEvery()
+	slots := make(chan struct{}, 8)
+	for sleep(ctx, every/2) {
+		var wg sync.WaitGroup
+		for _, t := range c.toAnnounce() {
+			slots <- struct{}{}
+			wg.Add(1)
+			go func() {
+				defer func() { <-slots; wg.Done() }()
+				c.announce(ctx, t)
+			}()
+		}
+		wg.Wait()
+	}
+}
+
+type announcement struct {
+	host, address string
+	shift         uint64
+}
+
+func (c *Controller) toAnnounce() []announcement {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	every := c.Config.ReportEvery()
+	if now.Sub(c.begun) < 2*every {
+		return nil // most report by themselves
+	}
+	var ts []announcement
+	c.fleet.Each(func(m *fleet.Machine) {
+		if m.Address == "" || m.State == fleet.Gone || m.State == fleet.Returning {
+			return
+		}
+		if m.State == fleet.Ready && now.Sub(m.Heard) < 2*every {
+			return
+		}
+		if m.State == fleet.Booting && !m.Listed || now.Sub(c.told[m.ID]) < 3*every {
+			return
+		}
+		c.told[m.ID] = now
+		shift := m.Shift
+		m.Each(func(a *fleet.Attempt) { shift = max(shift, a.Shift) })
+		ts = append(ts, announcement{m.ID, m.Address, max(shift, 1)})
+	})
+	slices.SortFunc(ts, func(a, b announcement) int { return cmp.Compare(a.host, b.host) })
+	return ts[:min(len(ts), 16)]
+}
+
+func (c *Controller) announce(ctx context.Context, t announcement) {
+	r, err := c.Worker.Announce(ctx, t.address, c.term, t.shift)
+	if err != nil {
+		slog.Debug("token not announced", "host", t.host, "err", err)
+		return
+	}
+	if r.Baton > c.term {
+		c.Saw(r.Baton)
+		c.depose("a worker has seen a higher token")
+		return
+	}
+	if r.Baton < c.term && r.Shift != t.shift && strings.EqualFold(r.Host, t.host) {
+		if _, err := c.Worker.Announce(ctx, t.address, c.term, r.Shift); err != nil {
+			slog.Debug("token not announced", "host", t.host, "err", err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/round.go
@@ -0,0 +1,344 @@
+package controller
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/internal/provision"
+	"lotusstile.dev/lotusstile/internal/sched"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// rounds runs a round every interval.
+func (c *Controller) rounds(ctx context.Context) {
+	for {
+		interval := time.Duration(c.Settings().IntervalS * float64(time.Second))
+		if !sleep(ctx, interval) {
+			return
+		}
+		for _, r := range c.round(interval) {
+			go c.rent(ctx, r)
+		}
+	}
+}
+
+// round looks over the window once. It returns the rentals to ask for.
+func (c *Controller) round(interval time.Duration) []*rental {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	c.hear(now)
+	c.fleet.Silence(now, c.Config.Lease())
+	c.condemn(now)
+	if c.cat == nil {
+		return nil
+	}
+	in, machines, victims := c.input(now, interval)
+	plan := sched.Run(in)
+	info := RoundInfo{At: now, Window: plan.Window, Waiting: len(in.Jobs), Objective: plan.Objective, Reserved: plan.Reserved, Short: len(plan.Shorts)}
+	took := c.now().Sub(now)
+	info.TookMs = float64(took.Microseconds()) / 1000
+	most := c.Settings().Window
+	switch {
+	case took > interval:
+		// As in the paper: an overrun starts nothing and halves the window.
+		info.Overrun = true
+		c.window = max(1, min(c.window, most)/2)
+		c.last = info
+		slog.Warn("round overran", "term", c.term, "took", took.String(), "window", c.window)
+		return nil
+	case took < interval/2:
+		c.window = min(most, c.window*2)
+	}
+	c.window = min(c.window, most)
+	info.Started = c.start(plan, machines, now)
+	info.Stopped = len(plan.Stops)
+	for _, id := range plan.Stops {
+		a := victims[id]
+		leeway := 0.0
+		if s := c.jobs[a.Uid].rec.Spec; s.MarkS > 0 {
+			leeway = s.StowS + c.Config.Cluster.Workers.ReportS
+		}
+		slog.Info("preempted", "leg", a.Name(), "host", a.Machine.ID)
+		c.fleet.StopAttempt(a, leeway, now, "preempted")
+	}
+	c.last = info
+	if info.Waiting > 0 {
+		slog.Info("round", "term", c.term, "window", plan.Window, "waiting", info.Waiting, "started", info.Started,
+			"stopped", info.Stopped, "short", info.Short, "objective", math.Round(plan.Objective*100)/100, "reserved", plan.Reserved, "ms", info.TookMs)
+	}
+	return c.provision(in, plan, machines, now)
+}
+
+// start turns the places of a plan into planned attempts, within the write
+// budget; what overflows waits for a later round.
+func (c *Controller) start(plan *sched.Plan, machines []*fleet.Machine, now time.Time) int {
+	budget := max(1, int(c.Config.Cluster.State.WriteRps))
+	for _, j := range c.jobs {
+		for _, p := range j.pieces {
+			if p.dirty {
+				budget--
+			}
+		}
+	}
+	started := 0
+	for _, pl := range plan.Places {
+		j := c.jobs[pl.Job.Spec.Uid]
+		m := machines[pl.Node]
+		if budget <= 0 || m == nil {
+			break
+		}
+		for _, leg := range j.pick(pl.Count) {
+			p := j.piece(leg)
+			if !p.dirty {
+				budget--
+			}
+			a := &fleet.Attempt{Uid: j.uid, Leg: leg, Try: p.next, Need: j.need, Image: j.rec.Spec.Rollout}
+			p.next++
+			p.live[leg] = a
+			j.live++
+			p.touch()
+			c.fleet.Place(m, a, now)
+			started++
+		}
+	}
+	if started > 0 {
+		c.poke()
+	}
+	return started
+}
+
+// input makes the picture of a round. Nodes without a machine stand for
+// rentals that are not answered yet.
+func (c *Controller) input(now time.Time, interval time.Duration) (*sched.Input, []*fleet.Machine, []*fleet.Attempt) {
+	in := &sched.Input{Window: c.window, ReserveS: 10 * interval.Seconds(), Priorities: sched.DefaultPriorities, Teams: map[string]*sched.Team{}}
+	for _, t := range c.Config.Cluster.Teams {
+		team := &sched.Team{}
+		team.Limit.Cores, team.Limit.Gpus = t.CpusMax, t.GpusMax
+		in.Teams[t.Name] = team
+	}
+	top := 0
+	for _, j := range c.jobs {
+		if t := in.Teams[j.rec.Spec.Crew]; t != nil {
+			t.Used.Cores += float64(j.live) * j.need.Cores
+			t.Used.Gpus += float64(j.live) * j.need.Gpus
+		}
+		w := j.waiting()
+		if w == 0 || now.Before(j.hold) {
+			continue
+		}
+		byYard, known := map[string]int{}, true
+		if j.live > 0 && (j.rec.Spec.Together || j.rec.Spec.Scatter) {
+			j.each(func(a *fleet.Attempt) {
+				byYard[a.Machine.Yard]++
+				known = known && a.Machine.Yard != ""
+			})
+		}
+		if !known {
+			continue // a zone that a task may be in is not known yet
+		}
+		top = max(top, j.level)
+		in.Jobs = append(in.Jobs, &sched.Job{Spec: &j.rec.Spec, Level: j.level, AtMs: j.rec.AtMs, Waiting: w,
+			Live: j.live, ByYard: byYard, WaitedS: now.Sub(j.waitFrom).Seconds()})
+	}
+	var machines []*fleet.Machine
+	var victims []*fleet.Attempt
+	c.fleet.Each(func(m *fleet.Machine) {
+		n := sched.Node{ID: m.ID, Rig: m.Rig, Yard: m.Yard, Standby: m.Standby, Cap: m.Cap}
+		switch {
+		case m.Takes(now) && m.Strays() == 0:
+			n.Free, n.Soon = m.Free(), m.Free()
+			m.Each(func(a *fleet.Attempt) {
+				if !a.Live() {
+					return
+				}
+				if a.Stopping || a.State == fleet.Saving {
+					n.Soon = n.Soon.Add(a.Need)
+					return
+				}
+				if j := c.jobs[a.Uid]; j != nil && j.level < top && (a.State == fleet.Running || a.State == fleet.Fetching) {
+					loss := 0.0
+					if !a.RunAt.IsZero() {
+						loss = now.Sub(a.RunAt).Seconds()
+						if mark := j.rec.Spec.MarkS; mark > 0 {
+							loss = min(loss, j.rec.Spec.StowS)
+						}
+					}
+					n.Victims = append(n.Victims, sched.Victim{ID: len(victims), Level: j.level, Need: a.Need, Loss: loss})
+					victims = append(victims, a)
+				}
+			})
+			n.Later = n.Soon
+			coming := map[string]bool{}
+			m.Each(func(a *fleet.Attempt) { coming[a.Image] = true })
+			n.Images = func(image string) bool {
+				_, seen := m.Images[image]
+				return seen || coming[image]
+			}
+			n.Avoid = func(uid string) bool {
+				at, bad := c.jobs[uid].avoid[m.ID]
+				return bad && now.Sub(at) < 6*c.Config.Lease()
+			}
+		case c.comes(m, now):
+			n.Later = m.Free()
+		default:
+			return
+		}
+		in.Nodes = append(in.Nodes, n)
+		machines = append(machines, m)
+	})
+	for _, r := range c.pending {
+		rig := c.rig(r.req.Rig)
+		for range r.req.HowMany {
+			in.Nodes = append(in.Nodes, sched.Node{ID: r.req.Booking, Rig: r.req.Rig, Yard: r.req.Yard, Standby: r.req.Standby,
+				Cap: provision.Cap(rig), Later: provision.Cap(rig)})
+			machines = append(machines, nil)
+		}
+	}
+	return in, machines, victims
+}
+
+// comes reports whether a machine is expected to take launches soon. One that
+// boots for much longer than usual is no longer counted on.
+func (c *Controller) comes(m *fleet.Machine, now time.Time) bool {
+	if m.Draining || m.Warned || m.Failed || m.Cap.Cores == 0 {
+		return false
+	}
+	switch m.State {
+	case fleet.Confirming:
+		return !now.Before(m.SickTill)
+	case fleet.Booting:
+		r := c.rig(m.Rig)
+		return r != nil && now.Sub(m.Born).Seconds() < 1.7*r.BootS+2*c.Config.Cluster.Workers.ReportS
+	}
+	return false
+}
+
+// arrivals measures how often jobs of a class come.
+type arrivals struct {
+	spec    *wire.Work
+	level   int
+	perS    float64
+	legs    float64
+	at      time.Time
+	counted int
+}
+
+// arrived notes a new job.
+func (c *Controller) arrived(j *job, now time.Time) {
+	s := &j.rec.Spec
+	a := c.arrive[s.Berth]
+	if a == nil {
+		a = &arrivals{at: c.begun, legs: float64(s.Legs)}
+		c.arrive[s.Berth] = a
+	}
+	a.spec, a.level = s, j.level
+	a.legs += (float64(s.Legs) - a.legs) / 8
+	a.counted++
+}
+
+// spare makes phantom tasks of the classes that must start at once: the room
+// they need is kept, or rented, beyond what waits.
+func (c *Controller) spare(now time.Time) []*sched.Job {
+	var jobs []*sched.Job
+	factor := c.Settings().Spare
+	for class, a := range c.arrive {
+		if a.level < wire.High.Level() || factor == 0 {
+			continue
+		}
+		span := now.Sub(a.at).Seconds()
+		perS := float64(a.counted) / max(span, 30)
+		boot := 0.0
+		for i := range c.cat.Rigs {
+			if r := &c.cat.Rigs[i]; provision.Cap(r).Holds(fleet.Need(a.spec)) && (boot == 0 || r.BootS < boot) {
+				boot = r.BootS
+			}
+		}
+		n := int(math.Ceil(factor * float64(provision.Spare(perS, a.legs, boot))))
+		for i := range n {
+			spec := *a.spec
+			spec.Uid, spec.Legs, spec.Shape, spec.Together, spec.Scatter = "", 1, wire.Sweep, false, false
+			jobs = append(jobs, &sched.Job{Spec: &spec, Level: a.level, AtMs: int64(i), Waiting: 1, ByYard: map[string]int{}})
+		}
+		_ = class
+	}
+	return jobs
+}
+
+// provision rents for what has no room and marks idle machines for return.
+func (c *Controller) provision(in *sched.Input, plan *sched.Plan, machines []*fleet.Machine, now time.Time) []*rental {
+	settled := now.Sub(c.steady) > c.Config.Lease()
+	spareIn := &sched.Input{Window: math.MaxInt, ReserveS: math.Inf(1), Jobs: c.spare(now), Teams: map[string]*sched.Team{}}
+	for name := range in.Teams {
+		spareIn.Teams[name] = &sched.Team{}
+	}
+	kept := map[string]bool{}
+	for i, n := range in.Nodes {
+		n.Free, n.Soon, n.Later = plan.LeftSoon[i], plan.LeftSoon[i], plan.LeftLater[i]
+		n.Images, n.Avoid = nil, nil
+		spareIn.Nodes = append(spareIn.Nodes, n)
+	}
+	spare := sched.Run(spareIn)
+	for _, pl := range spare.Places {
+		if m := machines[pl.Node]; m != nil {
+			kept[m.ID] = true
+		}
+	}
+	// A new leader waits until the machines have reported before it decides
+	// that there are too few or too many.
+	if !settled && len(c.pending) == 0 && c.fleet.Len() > 0 && c.unheard() {
+		return nil
+	}
+	population := map[string]int{}
+	c.fleet.Each(func(m *fleet.Machine) { population[m.Yard]++ })
+	shorts := append(append([]sched.Short{}, plan.Shorts...), spare.Shorts...)
+	rents := provision.Rents(c.cat, shorts, population, func(g provision.Group) bool { return now.Before(c.refused[g].until) })
+	var out []*rental
+	for _, r := range rents {
+		out = append(out, c.book(r))
+	}
+	if len(plan.Shorts) == 0 && settled {
+		c.idle(in, kept, now)
+	}
+	return out
+}
+
+// unheard reports whether machines that may run tasks have not reported yet.
+func (c *Controller) unheard() bool {
+	found := false
+	c.fleet.Each(func(m *fleet.Machine) {
+		found = found || (m.State == fleet.Booting && m.LiveCount() > 0) || m.State == fleet.Confirming
+	})
+	return found
+}
+
+// idle returns machines that have had nothing to do for a while and that are
+// not kept as spare room. One at a time: the next round sees what is left.
+func (c *Controller) idle(in *sched.Input, kept map[string]bool, now time.Time) {
+	var worst *fleet.Machine
+	var worstPrice float64
+	c.fleet.Each(func(m *fleet.Machine) {
+		r := c.rig(m.Rig)
+		if m.State != fleet.Ready || m.Draining || m.LiveCount() > 0 || kept[m.ID] || r == nil {
+			return
+		}
+		// A machine costs at least a minute; what comes back within a
+		// fraction of a boot saves a boot.
+		if now.Sub(m.IdleAt).Seconds() < r.BootS/2 || now.Sub(m.Born).Seconds() < r.BootS+10 {
+			return
+		}
+		price := r.Hourly
+		if m.Standby {
+			price = r.LowPrice
+		}
+		if worst == nil || price > worstPrice || (price == worstPrice && m.ID > worst.ID) {
+			worst, worstPrice = m, price
+		}
+	})
+	if worst != nil {
+		c.giveUp(worst, now, "idle")
+	}
+}
--- /dev/null
+++ b/internal/controller/writer.go
@@ -0,0 +1,302 @@
+package controller
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/store"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// batch is one commit of the writer and what follows from it.
+type batch struct {
+	tx     wire.Commit
+	pieces []pieceWrite
+	jobs   []*job // archived, or marked final, by it
+	gone   []bool // whether the job is archived by it
+}
+
+type pieceWrite struct {
+	p       *piece
+	seq     int
+	planned []*fleet.Attempt
+	ended   []*fleet.Attempt
+	dropped bool
+}
+
+// maxTx leaves room for the frame of a commit in the largest body.
+const maxTx = wire.MaxBody * 3 / 4
+
+// writer commits what changed, batch by batch.
+func (c *Controller) writer(ctx context.Context) {
+	tick := c.Config.ReportEvery() / 3
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wake:
+		case <-time.After(tick):
+		}
+		for ctx.Err() == nil {
+			b := c.collect()
+			if b == nil {
+				break
+			}
+			if !c.commit(ctx, b) {
+				sleep(ctx, tick/2)
+			}
+		}
+	}
+}
+
+// collect makes the next batch: ends and launches of the highest ranks first,
+// then jobs to archive. It returns nil if there is nothing to write.
+func (c *Controller) collect() *batch {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := &batch{tx: wire.Commit{Guards: []wire.Guard{{Key: ledger.LeaderKey, Stamp: c.term}}}}
+	ops := c.Config.Cluster.State.TxnOps
+	var jobs []*job
+	for _, j := range c.jobs {
+		jobs = append(jobs, j)
+	}
+	slices.SortFunc(jobs, func(x, y *job) int {
+		return cmp.Or(cmp.Compare(y.level, x.level), cmp.Compare(x.uid, y.uid))
+	})
+	size := 0
+	for _, j := range jobs {
+		if j.unsure {
+			continue
+		}
+		if c.over(j) {
+			size += c.archive(b, j, ops)
+			continue
+		}
+		if j.rec.Status.Final() {
+			continue
+		}
+		launches := false
+		for _, p := range j.pieces {
+			if !p.dirty || p.unsure || len(b.tx.Apply) >= ops || size > maxTx || len(b.tx.Guards)+2 > 4*ops {
+				continue
+			}
+			w := pieceWrite{p: p, seq: p.seq, ended: slices.Clone(p.ended)}
+			for _, a := range p.live {
+				if a.State == fleet.Planned {
+					w.planned = append(w.planned, a)
+				}
+			}
+			value := ledger.Encode(p.record())
+			size += len(value)
+			key := ledger.PieceKey(j.uid, p.n)
+			b.tx.Guards = append(b.tx.Guards, wire.Guard{Key: key, Stamp: p.stamp})
+			b.tx.Apply = append(b.tx.Apply, wire.Change{Set: key, Value: value})
+			b.pieces = append(b.pieces, w)
+			launches = launches || len(w.planned) > 0
+		}
+		if launches {
+			// A withdrawal changes this stamp: nothing is launched after it.
+			b.tx.Guards = append(b.tx.Guards, wire.Guard{Key: ledger.JobKey(j.uid), Stamp: j.stamp})
+		}
+	}
+	if len(b.tx.Apply) == 0 {
+		return nil
+	}
+	return b
+}
+
+// over reports whether a job can be archived: all its tasks are done, or it is
+// final and nothing of it may be on a machine.
+func (c *Controller) over(j *job) bool {
+	if j.rec.Status.Final() {
+		return j.live == 0
+	}
+	return j.done >= j.rec.Spec.Legs && j.live == 0
+}
+
+// archive adds to a batch what brings a job nearer to its end: its pieces are
+// dropped and its final status takes the place of its record, in one commit if
+// it has room, else over several.
+func (c *Controller) archive(b *batch, j *job, ops int) int {
+	stored := 0
+	unsure := false
+	for _, p := range j.pieces {
+		if p.stamp != 0 {
+			stored++
+		}
+		unsure = unsure || p.unsure
+	}
+	room := ops - len(b.tx.Apply)
+	if unsure || room < 2 || len(b.tx.Guards)+stored+2 > 4*ops {
+		return 0
+	}
+	status := wire.JobDone
+	if j.rec.Status.Final() {
+		status = j.rec.Status
+	}
+	jobGuard := wire.Guard{Key: ledger.JobKey(j.uid), Stamp: j.stamp}
+	if stored+2 > room {
+		if len(b.tx.Apply) > 0 {
+			return 0 // a job of many pieces gets a batch of its own
+		}
+		if !j.rec.Status.Final() {
+			rec := *j.rec
+			rec.Status = status
+			b.tx.Guards = append(b.tx.Guards, jobGuard)
+			b.tx.Apply = append(b.tx.Apply, wire.Change{Set: jobGuard.Key, Value: ledger.Encode(rec)})
+			b.jobs, b.gone = append(b.jobs, j), append(b.gone, false)
+			return 0
+		}
+		for _, p := range j.pieces {
+			if p.stamp == 0 || len(b.tx.Apply) >= ops {
+				continue
+			}
+			b.drop(p)
+		}
+		return 0
+	}
+	b.tx.Guards = append(b.tx.Guards, jobGuard, wire.Guard{Key: ledger.FinalKey(j.uid), Stamp: 0})
+	b.tx.Apply = append(b.tx.Apply, wire.Change{Drop: jobGuard.Key},
+		wire.Change{Set: ledger.FinalKey(j.uid), Value: ledger.Encode(ledger.Final{Status: status})})
+	for _, p := range j.pieces {
+		if p.stamp != 0 {
+			b.drop(p)
+		}
+	}
+	b.jobs, b.gone = append(b.jobs, j), append(b.gone, true)
+	return 0
+}
+
+func (b *batch) drop(p *piece) {
+	key := ledger.PieceKey(p.job.uid, p.n)
+	b.tx.Guards = append(b.tx.Guards, wire.Guard{Key: key, Stamp: p.stamp})
+	b.tx.Apply = append(b.tx.Apply, wire.Change{Drop: key})
+	b.pieces = append(b.pieces, pieceWrite{p: p, seq: p.seq, dropped: true})
+}
+
+// commit sends a batch and takes its outcome into the picture. It returns
+// false if the writer should pause.
+func (c *Controller) commit(ctx context.Context, b *batch) bool {
+	epoch, err := c.Store.Commit(ctx, b.tx)
+	var conflict *store.ConflictError
+	switch {
+	case err == nil:
+		c.committed(b, epoch)
+		return true
+	case errors.As(err, &conflict):
+		slog.Info("commit conflicts", "term", c.term, "failed", conflict.Failed)
+		if slices.Contains(conflict.Failed, ledger.LeaderKey) {
+			c.depose("the leader's key has changed")
+			return false
+		}
+		c.reread(ctx, b)
+		return true
+	case errors.Is(err, store.ErrUnknown):
+		slog.Warn("commit's outcome is unknown", "term", c.term, "err", err)
+		c.reread(ctx, b)
+		return false
+	default:
+		slog.Warn("commit refused", "term", c.term, "err", err)
+		return false
+	}
+}
+
+func (c *Controller) committed(b *batch, epoch uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	for _, w := range b.pieces {
+		w.p.stamp = epoch
+		if w.dropped {
+			w.p.stamp = 0
+			continue
+		}
+		if w.p.seq == w.seq {
+			w.p.dirty = false
+		}
+		for _, a := range w.planned {
+			c.fleet.Commit(a, now)
+		}
+		w.p.ended = slices.DeleteFunc(w.p.ended, func(a *fleet.Attempt) bool { return slices.Contains(w.ended, a) })
+		for _, a := range w.ended {
+			c.fleet.Record(a, now)
+		}
+	}
+	for i, j := range b.jobs {
+		if b.gone[i] {
+			slog.Info("job archived", "uid", j.uid)
+			if c.jobs[j.uid] == j {
+				c.dropJob(j, now)
+			}
+			continue
+		}
+		rec := *j.rec
+		rec.Status = wire.JobDone
+		j.rec, j.stamp = &rec, epoch
+	}
+}
+
+// reread learns how the keys of a batch stand after a conflict or an unknown
+// outcome. The pieces' records are this term's own: only their stamps are
+// taken, and the picture, which is newer, is written again. What a late commit
+// of this term may still do, the stamps guard against.
+func (c *Controller) reread(ctx context.Context, b *batch) {
+	c.mu.Lock()
+	for _, w := range b.pieces {
+		w.p.unsure = true
+	}
+	jobs := map[*job]bool{}
+	for _, w := range b.pieces {
+		jobs[w.p.job] = true
+	}
+	for _, j := range b.jobs {
+		jobs[j] = true
+	}
+	for j := range jobs {
+		j.unsure = true
+	}
+	c.mu.Unlock()
+	get := func(key string) (wire.Item, bool, bool) {
+		for {
+			item, found, err := c.Store.Get(ctx, key)
+			if err == nil {
+				return item, found, true
+			}
+			if !sleep(ctx, c.Config.ReportEvery()/4) {
+				return wire.Item{}, false, false
+			}
+		}
+	}
+	for _, w := range b.pieces {
+		item, found, ok := get(ledger.PieceKey(w.p.job.uid, w.p.n))
+		if !ok {
+			return
+		}
+		c.mu.Lock()
+		if !found {
+			item.Stamp = 0
+		}
+		w.p.stamp, w.p.unsure, w.p.dirty = item.Stamp, false, true
+		c.mu.Unlock()
+	}
+	for j := range jobs {
+		item, found, ok := get(ledger.JobKey(j.uid))
+		if !ok {
+			return
+		}
+		c.mu.Lock()
+		j.unsure = false
+		c.mu.Unlock()
+		if !found {
+			c.jobEvent(j.uid, ledger.Entry{Stamp: ^uint64(0)})
+			continue
+		}
+		c.refresh(j.uid, item)
+	}
+}
--- /dev/null
+++ b/internal/election/election.go
@@ -0,0 +1,284 @@
+// Package election chooses the one leader. The leader's key hangs on a hold;
+// the Stamp of that key is the term and, to workers, the token (Baton).
+package election
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/store"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// State is where this node stands.
+type State int
+
+// The states of a node.
+const (
+	Following   State = iota // another node leads, or nobody is known to
+	Campaigning              // is trying to become leader
+	Leading                  // leads
+	Unproven                 // leads, but its hold could not be renewed in time
+)
+
+var stateNames = [...]string{"following", "campaigning", "leading", "unproven"}
+
+func (s State) String() string { return stateNames[s] }
+
+// Store is what an election needs of the state service.
+type Store interface {
+	ledger.Reader
+	Get(ctx context.Context, key string) (wire.Item, bool, error)
+	Commit(ctx context.Context, tx wire.Commit) (uint64, error)
+	OpenHold(ctx context.Context, ttl time.Duration) (uint64, error)
+	TouchHold(ctx context.Context, permit uint64) error
+	CloseHold(ctx context.Context, permit uint64) error
+}
+
+// View is what is known of the leadership.
+type View struct {
+	Leader string // empty: nobody leads
+	Term   uint64 // the last term there was, of that leader if there is one
+	Synced bool
+}
+
+// Elector runs the election at one node.
+type Elector struct {
+	store Store
+	label string
+	ttl   time.Duration
+	lead  func(ctx context.Context, term uint64)
+
+	mu      sync.Mutex
+	state   State
+	view    View
+	term    uint64 // our term while we lead
+	stop    context.CancelFunc
+	changed chan struct{}
+}
+
+// New makes an elector. lead is called for each term that this node leads; its
+// context ends with the term.
+func New(s Store, label string, ttl time.Duration, lead func(ctx context.Context, term uint64)) *Elector {
+	return &Elector{store: s, label: label, ttl: ttl, lead: lead, changed: make(chan struct{}, 1)}
+}
+
+// set is the one function that changes the state. e.mu is held.
+func (e *Elector) set(to State, why string) {
+	if e.state == to {
+		return
+	}
+	slog.Info("leadership", "from", e.state.String(), "to", to.String(), "term", e.term, "why", why)
+	e.state = to
+}
+
+func (e *Elector) move(to State, why string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.set(to, why)
+}
+
+// View tells what is known of the leadership.
+func (e *Elector) View() View {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.view
+}
+
+// State tells where this node stands.
+func (e *Elector) State() State {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state
+}
+
+// Saw notes that a term was seen elsewhere: in a worker's report or at another
+// node. A leader of an older term steps down.
+func (e *Elector) Saw(term uint64, leader string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if term <= e.view.Term {
+		return
+	}
+	e.view.Term, e.view.Leader = term, leader
+	if e.stop != nil && term > e.term {
+		slog.Info("newer term seen", "ours", e.term, "newer", term)
+		e.stop()
+	}
+}
+
+func (e *Elector) poke() {
+	select {
+	case e.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Elector) reset(rows []wire.Item, _ uint64) {
+	e.mu.Lock()
+	e.view.Synced = true
+	leading := false
+	for _, row := range rows {
+		leading = leading || row.Key == ledger.LeaderKey
+		e.learn(row.Key, row.Value, row.Stamp)
+	}
+	if !leading {
+		e.view.Leader = ""
+	}
+	e.mu.Unlock()
+	e.poke()
+}
+
+func (e *Elector) change(n wire.News) {
+	e.mu.Lock()
+	if n.Drop == ledger.LeaderKey && n.Stamp > e.view.Term {
+		e.view.Leader = ""
+	} else if n.Set != "" {
+		e.learn(n.Set, n.Value, n.Stamp)
+	}
+	e.mu.Unlock()
+	e.poke()
+}
+
+// learn takes a key of the election into the view. e.mu is held.
+func (e *Elector) learn(key string, value json.RawMessage, stamp uint64) {
+	if stamp < e.view.Term {
+		return
+	}
+	var l ledger.Leader
+	if err := json.Unmarshal(value, &l); err != nil {
+		slog.Error("leader record cannot be read", "key", key, "err", err)
+		return
+	}
+	e.view.Term = stamp
+	if key == ledger.LeaderKey {
+		e.view.Leader = l.Node
+	}
+	if e.stop != nil && stamp > e.term {
+		e.stop()
+	}
+}
+
+// Run takes part in elections until ctx ends.
+func (e *Elector) Run(ctx context.Context) {
+	go ledger.Follow(ctx, e.store, ledger.ElectionPrefix, 2*e.ttl, e.ttl/8, e.reset, e.change)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.changed:
+		case <-time.After(e.ttl):
+		}
+		if v := e.View(); !v.Synced || v.Leader != "" {
+			continue
+		}
+		// A little chance keeps nodes from colliding at every try.
+		time.Sleep(time.Duration(rand.Int64N(int64(e.ttl / 40))))
+		if v := e.View(); v.Leader != "" {
+			continue
+		}
+		e.move(Campaigning, "nobody leads")
+		if term, permit, ok := e.campaign(ctx); ok {
+			e.serve(ctx, term, permit)
+		} else {
+			e.move(Following, "not elected")
+			time.Sleep(time.Duration(rand.Int64N(int64(e.ttl / 8))))
+			e.poke()
+		}
+	}
+}
+
+// campaign tries once to become leader.
+func (e *Elector) campaign(ctx context.Context) (term, permit uint64, ok bool) {
+	ctx = store.Urgent(ctx)
+	permit, err := e.store.OpenHold(ctx, e.ttl)
+	if err != nil {
+		slog.Debug("no hold", "err", err)
+		return 0, 0, false
+	}
+	rec := ledger.Encode(ledger.Leader{Node: e.label})
+	term, err = e.store.Commit(ctx, wire.Commit{
+		Guards: []wire.Guard{{Key: ledger.LeaderKey, Stamp: 0}},
+		Apply:  []wire.Change{{Set: ledger.LeaderKey, Value: rec, Permit: permit}, {Set: ledger.TermKey, Value: rec}},
+	})
+	if err == nil {
+		return term, permit, true
+	}
+	slog.Debug("not elected", "err", err)
+	var conflict *store.ConflictError
+	if !errors.As(err, &conflict) && errors.Is(err, store.ErrUnknown) {
+		// The commit may have been applied: the key then hangs on our hold.
+		if item, found, err := e.store.Get(ctx, ledger.LeaderKey); err == nil && found && item.Permit == permit {
+			return item.Stamp, permit, true
+		}
+	}
+	if err := e.store.CloseHold(ctx, permit); err != nil {
+		slog.Debug("hold not closed", "err", err)
+	}
+	if item, found, err := e.store.Get(ctx, ledger.LeaderKey); err == nil {
+		e.mu.Lock()
+		if found {
+			e.learn(item.Key, item.Value, item.Stamp)
+		}
+		e.mu.Unlock()
+	}
+	return 0, 0, false
+}
+
+// serve leads a term until the hold ends or a newer term is seen. While the
+// hold cannot be renewed the term goes on unproven: it may outlive an outage
+// of the state service, and every commit is guarded by the leader's key.
+func (e *Elector) serve(ctx context.Context, term, permit uint64) {
+	tctx, stop := context.WithCancel(ctx)
+	defer stop()
+	e.mu.Lock()
+	e.term, e.stop = term, stop
+	e.view.Term, e.view.Leader = max(term, e.view.Term), e.label
+	if e.view.Term > term {
+		stop()
+	}
+	e.set(Leading, "elected")
+	e.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.lead(tctx, term)
+	}()
+	renewed := time.Now()
+	for tctx.Err() == nil {
+		select {
+		case <-tctx.Done():
+			continue
+		case <-time.After(e.ttl / 4):
+		}
+		begun := time.Now()
+		rctx, cancel := context.WithTimeout(store.Urgent(tctx), e.ttl/2)
+		err := e.store.TouchHold(rctx, permit)
+		cancel()
+		switch {
+		case err == nil:
+			renewed = begun
+			e.move(Leading, "hold renewed")
+		case errors.Is(err, store.ErrNoHold):
+			slog.Info("hold has ended", "term", term)
+			stop()
+		case time.Since(renewed) > e.ttl:
+			e.move(Unproven, "hold not renewed")
+		}
+	}
+	e.mu.Lock()
+	e.stop = nil
+	if e.view.Leader == e.label && e.view.Term == term {
+		e.view.Leader = ""
+	}
+	e.set(Following, "term ended")
+	e.mu.Unlock()
+	<-done
+	e.poke()
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,476 @@
+// Package fleet holds the leader's picture of the machines and of the attempts
+// on them. It is the only place that says that a task is provably off a
+// machine. It does no I/O; the clock is passed in.
+package fleet
+
+import (
+	"time"
+
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// MachineState is where a machine stands.
+type MachineState int
+
+// The states of a machine.
+const (
+	Booting    MachineState = iota // rented or listed, never reported to this term
+	Confirming                     // reports, but not yet with this term's token
+	Ready                          // may take launches
+	Silent                         // no report for longer than a lease
+	Returning                      // a return was attempted: never used again
+	Gone                           // the cloud confirmed the return, or took it
+)
+
+var machineNames = [...]string{"booting", "confirming", "ready", "silent", "returning", "gone"}
+
+func (s MachineState) String() string { return machineNames[s] }
+
+// AttemptState is where an attempt stands.
+type AttemptState int
+
+// The states of an attempt.
+const (
+	Planned   AttemptState = iota // decided, its record not yet committed
+	Committed                     // recorded; may be launched
+	Sent                          // an answer that carried its launch was given
+	Fetching                      // reported fetching
+	Running                       // reported running
+	Saving                        // reported saving
+	Ended                         // reported ended, not yet recorded so
+	Recorded                      // ended and recorded: to be reaped
+	Off                           // provably off its machine
+)
+
+var attemptNames = [...]string{"planned", "committed", "sent", "fetching", "running", "saving", "ended", "recorded", "off"}
+
+func (s AttemptState) String() string { return attemptNames[s] }
+
+// Res is an amount of a machine's resources.
+type Res struct{ Cores, Gpus, Ram float64 }
+
+// Add returns r + o.
+func (r Res) Add(o Res) Res { return Res{r.Cores + o.Cores, r.Gpus + o.Gpus, r.Ram + o.Ram} }
+
+// Sub returns r - o.
+func (r Res) Sub(o Res) Res { return Res{r.Cores - o.Cores, r.Gpus - o.Gpus, r.Ram - o.Ram} }
+
+const slack = 1e-6
+
+// Holds reports whether o fits into r.
+func (r Res) Holds(o Res) bool {
+	return o.Cores <= r.Cores+slack && o.Gpus <= r.Gpus+slack && o.Ram <= r.Ram+slack
+}
+
+// Count is how many times o fits into r, at most limit.
+func (r Res) Count(o Res, limit int) int {
+	n := limit
+	for _, p := range [...][2]float64{{r.Cores, o.Cores}, {r.Gpus, o.Gpus}, {r.Ram, o.Ram}} {
+		if p[1] > 0 {
+			n = min(n, int((p[0]+slack)/p[1]))
+		}
+	}
+	return max(n, 0)
+}
+
+// Need is what a task of a job takes.
+func Need(w *wire.Work) Res { return Res{w.Cores, w.Gpus, w.RamGb} }
+
+type attemptKey struct {
+	leg string
+	try uint64
+}
+
+// Attempt is one try of one task on one machine.
+type Attempt struct {
+	Uid       string
+	Leg       int
+	Try       uint64
+	Shift     uint64 // session of the machine that it was decided for
+	Need      Res
+	Image     string
+	Machine   *Machine
+	State     AttemptState
+	SentTick  uint64 // newest report whose answer carried the launch
+	Inherited bool   // decided in an earlier term
+	Stopping  bool   // is to be stopped
+	LeewayS   float64
+	Cause     wire.Cause
+	Kept      bool
+	Since     time.Time // of the last change of state
+	RunAt     time.Time // when first seen running
+}
+
+// Name is the task's name.
+func (a *Attempt) Name() string { return wire.LegName(a.Uid, a.Leg) }
+
+// Live reports whether the attempt may be on its machine, now or later.
+func (a *Attempt) Live() bool { return a.State < Ended }
+
+// stray is a task that a machine reports and no record knows.
+type stray struct {
+	leg   string
+	try   uint64
+	ended bool
+}
+
+// Machine is one machine.
+type Machine struct {
+	ID       string
+	Address  string
+	Rig      string
+	Yard     string
+	Standby  bool
+	State    MachineState
+	Cap      Res
+	Shift    uint64
+	Tick     uint64
+	Heard    time.Time // last report, here or at another node
+	Since    time.Time // of the last change of state
+	Born     time.Time // when it was first known
+	Listed   bool
+	Failed   bool // the cloud lists it as failed
+	Warned   bool // spot notice
+	Draining bool // takes no more launches; returned when empty
+	IdleAt   time.Time
+	SickTill time.Time            // takes no launches until then
+	Deaf     int                  // launches in a row that it did not take
+	Errors   map[string]time.Time // jobs that failed here since the last success
+	Images   map[string]time.Time // images seen on it, by last use
+
+	attempts map[attemptKey]*Attempt
+	strays   []stray
+	used     Res
+	live     int
+}
+
+// Free is what is left for new attempts.
+func (m *Machine) Free() Res { return m.Cap.Sub(m.used) }
+
+// LiveCount is how many attempts may be on it.
+func (m *Machine) LiveCount() int { return m.live }
+
+// Strays is how many running tasks it reports that no record knows.
+func (m *Machine) Strays() int {
+	n := 0
+	for _, s := range m.strays {
+		if !s.ended {
+			n++
+		}
+	}
+	return n
+}
+
+// Each calls f for every attempt that is not off.
+func (m *Machine) Each(f func(*Attempt)) {
+	for _, a := range m.attempts {
+		f(a)
+	}
+}
+
+// Takes reports whether new attempts may be placed on it.
+func (m *Machine) Takes(now time.Time) bool {
+	return m.State == Ready && !m.Draining && !m.Warned && !m.Failed && m.Cap.Cores > 0 && !now.Before(m.SickTill)
+}
+
+// Watcher is told of every change of state.
+type Watcher interface {
+	MachineChanged(m *Machine, from MachineState, why string)
+	AttemptChanged(a *Attempt, from AttemptState, why string)
+}
+
+// Fleet is the picture of one term.
+type Fleet struct {
+	term     uint64
+	lease    time.Duration
+	watcher  Watcher
+	machines map[string]*Machine
+}
+
+// deafLimit is how many launches in a row a machine may fail to take before it
+// is passed over: its reports arrive, but answers do not reach it.
+const deafLimit = 3
+
+// New makes an empty picture for a term.
+func New(term uint64, lease time.Duration, w Watcher) *Fleet {
+	return &Fleet{term: term, lease: lease, watcher: w, machines: map[string]*Machine{}}
+}
+
+// Get finds a machine.
+func (f *Fleet) Get(id string) *Machine { return f.machines[id] }
+
+// Len is the number of machines that are not gone.
+func (f *Fleet) Len() int {
+	n := 0
+	for _, m := range f.machines {
+		if m.State != Gone {
+			n++
+		}
+	}
+	return n
+}
+
+// Each calls fn for every machine, gone ones included.
+func (f *Fleet) Each(fn func(*Machine)) {
+	for _, m := range f.machines {
+		fn(m)
+	}
+}
+
+// Know finds or makes a machine.
+func (f *Fleet) Know(id string, now time.Time) *Machine {
+	m := f.machines[id]
+	if m == nil {
+		m = &Machine{ID: id, State: Booting, Heard: now, Since: now, Born: now, IdleAt: now,
+			attempts: map[attemptKey]*Attempt{}, Images: map[string]time.Time{}, Errors: map[string]time.Time{}}
+		f.machines[id] = m
+		f.watcher.MachineChanged(m, Booting, "known")
+	}
+	return m
+}
+
+// Forget drops a gone machine from the picture.
+func (f *Fleet) Forget(id string) {
+	if m := f.machines[id]; m != nil && m.State == Gone {
+		delete(f.machines, id)
+	}
+}
+
+// set is the one function that changes the state of a machine.
+func (f *Fleet) set(m *Machine, to MachineState, now time.Time, why string) {
+	if m.State == to || m.State == Gone || (m.State == Returning && to != Gone) {
+		return // a machine whose return was attempted is never used again
+	}
+	from := m.State
+	m.State, m.Since = to, now
+	f.watcher.MachineChanged(m, from, why)
+}
+
+// shift is the one function that changes the state of an attempt.
+func (f *Fleet) shift(a *Attempt, to AttemptState, now time.Time, why string) {
+	if a.State == to || a.State == Off {
+		return
+	}
+	m := a.Machine
+	from, wasLive := a.State, a.Live()
+	a.State, a.Since = to, now
+	if wasLive && !a.Live() {
+		m.used = m.used.Sub(a.Need)
+		if m.live--; m.live == 0 {
+			m.used = Res{} // no rounding errors pile up
+			m.IdleAt = now
+		}
+	}
+	if to == Off {
+		delete(m.attempts, attemptKey{a.Name(), a.Try})
+	}
+	f.watcher.AttemptChanged(a, from, why)
+}
+
+// Place adds an attempt: Planned by this term, or inherited from a record.
+func (f *Fleet) Place(m *Machine, a *Attempt, now time.Time) {
+	a.Machine, a.Since = m, now
+	if a.Inherited {
+		a.State = Committed
+	} else {
+		a.State = Planned
+		a.Shift = m.Shift
+	}
+	m.attempts[attemptKey{a.Name(), a.Try}] = a
+	m.used = m.used.Add(a.Need)
+	m.live++
+	f.watcher.AttemptChanged(a, a.State, "placed")
+}
+
+// Commit notes that the record of a planned attempt is committed.
+func (f *Fleet) Commit(a *Attempt, now time.Time) {
+	if a.State == Planned {
+		f.shift(a, Committed, now, "recorded")
+	}
+}
+
+// Record notes that the end of an attempt is recorded: it may be reaped.
+func (f *Fleet) Record(a *Attempt, now time.Time) {
+	if a.State == Ended {
+		f.shift(a, Recorded, now, "end recorded")
+	}
+}
+
+// StopAttempt asks for the end of an attempt. One that this term never
+// launched, and no other term can have launched, is off at once.
+func (f *Fleet) StopAttempt(a *Attempt, leewayS float64, now time.Time, why string) {
+	if !a.Live() {
+		return
+	}
+	if !a.Inherited && (a.State == Planned || a.State == Committed) {
+		f.shift(a, Off, now, why)
+		return
+	}
+	if !a.Stopping || leewayS < a.LeewayS {
+		a.Stopping, a.LeewayS = true, leewayS
+	}
+}
+
+// Return notes that a return is about to be attempted.
+func (f *Fleet) Return(m *Machine, now time.Time, why string) { f.set(m, Returning, now, why) }
+
+// Confirm notes that the cloud answered 200 to returning the machine: it and
+// all on it are gone.
+func (f *Fleet) Confirm(m *Machine, now time.Time, why string) {
+	f.set(m, Gone, now, why)
+	for _, a := range m.attempts {
+		f.shift(a, Off, now, "machine gone")
+	}
+}
+
+// Silence marks machines that nobody has heard for longer than limit.
+func (f *Fleet) Silence(now time.Time, limit time.Duration) {
+	for _, m := range f.machines {
+		if (m.State == Ready || m.State == Confirming) && now.Sub(m.Heard) > limit {
+			f.set(m, Silent, now, "not heard")
+		}
+	}
+}
+
+// Report takes a check-in into the picture and returns the orders that answer
+// it. fresh is false for a copy that is no newer than what is known: it
+// changes nothing and gets no orders.
+func (f *Fleet) Report(r *wire.Report, now time.Time) (m *Machine, fresh bool) {
+	m = f.Know(r.Host, now)
+	if m.State == Gone || r.Shift < m.Shift || (r.Shift == m.Shift && r.Tick <= m.Tick) {
+		return m, false
+	}
+	newSession, heardAgo := r.Shift > m.Shift && m.Shift != 0, now.Sub(m.Heard)
+	m.Shift, m.Tick, m.Heard = r.Shift, r.Tick, now
+	m.Address, m.Rig, m.Yard, m.Standby = r.Address, r.Rig, r.Yard, r.Standby
+	if r.WarningS != nil {
+		m.Warned = true
+	}
+	confirmed := r.Baton == f.term
+	if newSession && heardAgo < f.lease {
+		// It reported all the time and yet its lease ended: answers do not
+		// reach it. Launches would be lost, so it gets none for a while.
+		m.SickTill = now.Add(2 * f.lease)
+	}
+	reported := make(map[attemptKey]*wire.LegReport, len(r.Legs))
+	m.strays = m.strays[:0]
+	for i := range r.Legs {
+		l := &r.Legs[i]
+		k := attemptKey{l.Leg, l.Try}
+		reported[k] = l
+		if m.attempts[k] == nil {
+			m.strays = append(m.strays, stray{l.Leg, l.Try, l.Status == wire.LegEnded})
+		}
+	}
+	for k, a := range m.attempts {
+		// The worker killed and forgot everything of earlier sessions, and
+		// drops every answer to a report of an earlier session.
+		if a.Shift < r.Shift {
+			f.shift(a, Off, now, "machine has a new session")
+			continue
+		}
+		if l := reported[k]; l != nil {
+			f.observe(a, l, now)
+			continue
+		}
+		switch a.State {
+		case Committed:
+			// An earlier term's launch can only have travelled in an answer
+			// to a report that the worker sent before it saw this term's token.
+			if a.Inherited && confirmed {
+				f.shift(a, Off, now, "not on its machine")
+			}
+		case Sent:
+			// The worker has one report in flight: since it sent this one, it
+			// drops the answer that carried the launch.
+			if r.Tick > a.SentTick {
+				if m.Deaf++; m.Deaf >= deafLimit {
+					m.SickTill = now.Add(2 * f.lease)
+				}
+				if a.Stopping || m.Deaf >= deafLimit {
+					f.shift(a, Off, now, "launch was not taken")
+				} else {
+					f.shift(a, Committed, now, "launch was not taken")
+				}
+			}
+		case Fetching, Running, Saving, Ended:
+			if confirmed {
+				f.shift(a, Off, now, "no longer reported")
+			}
+		case Recorded:
+			f.shift(a, Off, now, "reaped")
+		}
+	}
+	if confirmed {
+		f.set(m, Ready, now, "reports with this term's token")
+	} else if m.State != Ready || newSession {
+		f.set(m, Confirming, now, "reports with an older token")
+	}
+	return m, true
+}
+
+// observe takes the reported state of an attempt.
+func (f *Fleet) observe(a *Attempt, l *wire.LegReport, now time.Time) {
+	if a.State == Sent {
+		a.Machine.Deaf = 0
+	}
+	switch a.State {
+	case Ended, Recorded, Off:
+		return
+	}
+	switch l.Status {
+	case wire.LegFetching:
+		f.shift(a, Fetching, now, "reported")
+	case wire.LegRunning:
+		if a.RunAt.IsZero() {
+			a.RunAt = now
+		}
+		if a.Image != "" {
+			a.Machine.Images[a.Image] = now
+		}
+		f.shift(a, Running, now, "reported")
+	case wire.LegSaving:
+		f.shift(a, Saving, now, "reported")
+	case wire.LegEnded:
+		a.Cause, a.Kept = l.Cause, l.Kept
+		f.shift(a, Ended, now, string(l.Cause))
+	}
+}
+
+// Orders makes the answer to a fresh report. Launches go only to a machine
+// that is ready, and only for attempts that are committed.
+func (f *Fleet) Orders(m *Machine, now time.Time, launches bool) []wire.Order {
+	orders := []wire.Order{}
+	for _, s := range m.strays {
+		if s.ended {
+			orders = append(orders, wire.Order{Verb: wire.Reap, Leg: s.leg, Try: s.try})
+		} else {
+			orders = append(orders, wire.Order{Verb: wire.Stop, Leg: s.leg, Try: s.try})
+		}
+	}
+	for _, a := range m.attempts {
+		switch a.State {
+		case Recorded:
+			orders = append(orders, wire.Order{Verb: wire.Reap, Leg: a.Name(), Try: a.Try})
+		case Sent, Fetching, Running:
+			if a.Stopping {
+				orders = append(orders, wire.Order{Verb: wire.Stop, Leg: a.Name(), Try: a.Try, LeewayS: a.LeewayS})
+			}
+		case Saving:
+			if a.Stopping && a.LeewayS == 0 {
+				orders = append(orders, wire.Order{Verb: wire.Stop, Leg: a.Name(), Try: a.Try})
+			}
+		}
+	}
+	if !launches || m.State != Ready {
+		return orders
+	}
+	for _, a := range m.attempts {
+		if a.State == Committed && !a.Inherited && !a.Stopping && a.Shift == m.Shift {
+			a.SentTick = m.Tick
+			f.shift(a, Sent, now, "launch given")
+			orders = append(orders, wire.Order{Verb: wire.Launch, Leg: a.Name(), Try: a.Try})
+		}
+	}
+	return orders
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,123 @@
+// Package ledger holds the durable records of the service and the keys they
+// are kept under in the state service.
+//
+//	e/leader      the leader, on a hold; its Stamp is the term
+//	e/term        written with e/leader and never dropped: its Stamp is the last term
+//	j/<uid>       an accepted job that is not archived yet
+//	p/<uid>/<n>   piece n of a job's placement
+//	f/<uid>       the final status of an archived job, kept for ever
+//	h/<host>      a machine whose return has been attempted
+//	o/settings    the operators' own settings
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// Key prefixes and fixed keys.
+const (
+	ElectionPrefix = "e/"
+	LeaderKey      = "e/leader"
+	TermKey        = "e/term"
+	JobPrefix      = "j/"
+	PiecePrefix    = "p/"
+	FinalPrefix    = "f/"
+	HostPrefix     = "h/"
+	SettingsPrefix = "o/"
+	SettingsKey    = "o/settings"
+)
+
+// Leader is the value of LeaderKey and TermKey.
+type Leader struct{ Node string }
+
+// Job is an accepted job. Status is queued until it is final.
+type Job struct {
+	Spec   wire.Work
+	Status wire.JobStatus
+	AtMs   int64 // time of day of acceptance
+	Per    int   // tasks to a piece of its placement
+}
+
+// Final is the last word on a job.
+type Final struct{ Status wire.JobStatus }
+
+// Host marks a machine that may be gone at any time: it is never used again
+// and its return is repeated until the cloud confirms it.
+type Host struct{ Returning bool }
+
+// Placed is an attempt that was decided and is not yet recorded as ended.
+type Placed struct {
+	Leg   int    `json:"L"`
+	Try   uint64 `json:"T"`
+	Host  string `json:"H"`
+	Shift uint64 `json:"S"`
+}
+
+// Piece is the placement of Per tasks in a row. Next is above every Try that
+// was ever used in it, so that no Try is used twice.
+type Piece struct {
+	Next uint64   `json:"N"`
+	Done []byte   `json:"D,omitempty"` // bit per task
+	Live []Placed `json:"A,omitempty"`
+}
+
+// placedBytes is the most that one Placed takes in JSON, with a host's name of
+// usual length; LegsPerPiece divides by it.
+const placedBytes = 96
+
+// LegsPerPiece is how many tasks go into one piece so that it fits a value.
+func LegsPerPiece(valueBytes int) int { return max(1, valueBytes/placedBytes) }
+
+// JobKey is the key of a job.
+func JobKey(uid string) string { return JobPrefix + uid }
+
+// FinalKey is the key of a job's final status.
+func FinalKey(uid string) string { return FinalPrefix + uid }
+
+// HostKey is the key of a machine's record.
+func HostKey(host string) string { return HostPrefix + host }
+
+// PieceKey is the key of a piece of a job's placement.
+func PieceKey(uid string, n int) string { return fmt.Sprintf("%s%s/%06d", PiecePrefix, uid, n) }
+
+// SplitPieceKey takes a piece's key apart.
+func SplitPieceKey(key string) (uid string, n int, ok bool) {
+	rest, found := strings.CutPrefix(key, PiecePrefix)
+	if !found {
+		return "", 0, false
+	}
+	uid, num, found := strings.Cut(rest, "/")
+	if !found {
+		return "", 0, false
+	}
+	n, err := strconv.Atoi(num)
+	return uid, n, err == nil && n >= 0
+}
+
+// Encode makes a value of a record. The records are plain structs, so it
+// cannot fail.
+func Encode(v any) json.RawMessage {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("ledger: encode %T: %v", v, err))
+	}
+	return data
+}
+
+// DoneBit reports whether task i of the piece is done.
+func (p *Piece) DoneBit(i int) bool {
+	return i/8 < len(p.Done) && p.Done[i/8]&(1<<(i%8)) != 0
+}
+
+// SetDone marks task i of the piece done.
+func (p *Piece) SetDone(i int) {
+	for len(p.Done) <= i/8 {
+		p.Done = append(p.Done, 0)
+	}
+	p.Done[i/8] |= 1 << (i % 8)
+}
--- /dev/null
+++ b/internal/ledger/settings.go
@@ -0,0 +1,33 @@
+package ledger
+
+import "errors"
+
+// Settings are the operators' own settings. They are kept in the state service
+// and changed through the administration API.
+type Settings struct {
+	IntervalS float64 // seconds from round to round
+	Window    int     // most jobs that a round looks over
+	Spare     float64 // times the usual spare room; 0 keeps none
+}
+
+// DefaultSettings derives the defaults from the interval of workers' reports.
+// The paper's default interval is 3 s; the fetch of an image takes most of the
+// time that users wait, so a round is a third of a report's interval here.
+func DefaultSettings(reportS float64) Settings {
+	return Settings{IntervalS: reportS / 3, Window: 200, Spare: 1}
+}
+
+// Check reports what is wrong with settings.
+func (s Settings) Check() error {
+	var faults []error
+	if !(s.IntervalS >= 0.1 && s.IntervalS <= 60) {
+		faults = append(faults, errors.New("IntervalS must be from 0.1 to 60"))
+	}
+	if s.Window < 1 || s.Window > 10000 {
+		faults = append(faults, errors.New("Window must be from 1 to 10000"))
+	}
+	if !(s.Spare >= 0 && s.Spare <= 100) {
+		faults = append(faults, errors.New("Spare must be from 0 to 100"))
+	}
+	return errors.Join(faults...)
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,183 @@
+// Package peer is what controllers say to each other, over net/rpc.
+package peer
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/config"
+)
+
+// PingArgs tells a peer about the caller.
+type PingArgs struct {
+	From string
+	Term uint64
+}
+
+// PingReply tells about the callee.
+type PingReply struct {
+	Term    uint64   // newest term it knows
+	Leading bool     // leads that term
+	Serving bool     // has read the state service lately
+	Heard   []string // machines whose leases it kept in the last lease
+}
+
+// CountsArgs asks the leader for a job's counts.
+type CountsArgs struct{ Uid string }
+
+// CountsReply gives them; Known is false if the callee does not lead.
+type CountsReply struct {
+	Known         bool
+	Done, Running int
+}
+
+// CheckInArgs relays a worker's report to the leader.
+type CheckInArgs struct{ Body []byte }
+
+// CheckInReply is the leader's answer to it.
+type CheckInReply struct {
+	Status int
+	Body   []byte
+}
+
+// Handler answers peers.
+type Handler interface {
+	Ping(a PingArgs) PingReply
+	Counts(a CountsArgs) CountsReply
+	RelayCheckIn(a CheckInArgs) CheckInReply
+}
+
+// Node is the net/rpc service.
+type Node struct{ h Handler }
+
+// Ping answers a ping.
+func (n *Node) Ping(a PingArgs, r *PingReply) error { *r = n.h.Ping(a); return nil }
+
+// Counts answers a question for counts.
+func (n *Node) Counts(a CountsArgs, r *CountsReply) error { *r = n.h.Counts(a); return nil }
+
+// CheckIn answers a relayed report.
+func (n *Node) CheckIn(a CheckInArgs, r *CheckInReply) error { *r = n.h.RelayCheckIn(a); return nil }
+
+// Serve answers peers on l until it closes.
+func Serve(l net.Listener, h Handler) error {
+	srv := rpc.NewServer()
+	if err := srv.RegisterName("Node", &Node{h}); err != nil {
+		return fmt.Errorf("register rpc: %w", err)
+	}
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			slog.Warn("mesh accept failed", "err", err)
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		go srv.ServeConn(conn)
+	}
+}
+
+var errTimeout = errors.New("peer did not answer in time")
+
+// Peer is another controller.
+type Peer struct {
+	Label    string
+	Location string
+	addr     string
+	timeout  time.Duration
+
+	mu     sync.Mutex
+	client *rpc.Client
+	last   PingReply
+	at     time.Time // start of the last ping that was answered
+}
+
+// Peers makes the peers of a node.
+func Peers(c *config.Config, timeout time.Duration) []*Peer {
+	var ps []*Peer
+	for _, m := range c.Members {
+		ps = append(ps, &Peer{Label: m.Label, Location: m.Location, addr: m.Endpoint, timeout: timeout})
+	}
+	return ps
+}
+
+func (p *Peer) call(method string, args, reply any) error {
+	p.mu.Lock()
+	client := p.client
+	p.mu.Unlock()
+	if client == nil {
+		conn, err := net.DialTimeout("tcp", p.addr, p.timeout)
+		if err != nil {
+			return fmt.Errorf("dial %s: %w", p.Label, err)
+		}
+		client = rpc.NewClient(conn)
+		p.mu.Lock()
+		if p.client != nil {
+			client.Close()
+			client = p.client
+		} else {
+			p.client = client
+		}
+		p.mu.Unlock()
+	}
+	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(p.timeout)
+	defer timer.Stop()
+	var err error
+	select {
+	case <-call.Done:
+		if err = call.Error; err == nil {
+			return nil
+		}
+	case <-timer.C:
+		err = errTimeout
+	}
+	p.mu.Lock()
+	if p.client == client {
+		p.client = nil
+	}
+	p.mu.Unlock()
+	client.Close()
+	return fmt.Errorf("%s at %s: %w", method, p.Label, err)
+}
+
+// Ping asks the peer how it stands and keeps the answer.
+func (p *Peer) Ping(a PingArgs) (PingReply, error) {
+	begun := time.Now()
+	var r PingReply
+	if err := p.call("Node.Ping", a, &r); err != nil {
+		return r, err
+	}
+	p.mu.Lock()
+	p.last, p.at = r, begun
+	p.mu.Unlock()
+	return r, nil
+}
+
+// Last is the last answer to a ping, if one is no older than limit.
+func (p *Peer) Last(limit time.Duration) (PingReply, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.last, !p.at.IsZero() && time.Since(p.at) <= limit
+}
+
+// Counts asks for a job's counts.
+func (p *Peer) Counts(uid string) (CountsReply, error) {
+	var r CountsReply
+	err := p.call("Node.Counts", CountsArgs{uid}, &r)
+	return r, err
+}
+
+// CheckIn relays a report.
+func (p *Peer) CheckIn(body []byte) (CheckInReply, error) {
+	var r CheckInReply
+	err := p.call("Node.CheckIn", CheckInArgs{body}, &r)
+	return r, err
+}
--- /dev/null
+++ b/internal/sched/sched.go
@@ -0,0 +1,485 @@
+// Package sched is the scheduling round: a pure function from a picture of
+// machines and waiting jobs to the whole jobs that start now.
+//
+// It follows the window scheduler of the design: of the jobs in the window it
+// picks those whose sum of p_j(s_j - c_j) is highest, where p_j is the job's
+// priority, s_j is 1 if it starts, and c_j is the number of machines it uses
+// over twice the number of all machines. A greedy pass stands in for the
+// integer solver.
+package sched
+
+import (
+	"cmp"
+	"slices"
+
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// Node is a machine as a round sees it.
+type Node struct {
+	ID      string
+	Rig     string
+	Yard    string
+	Standby bool
+	Cap     fleet.Res
+	Free    fleet.Res // usable now; zero for a machine that takes no launches
+	Soon    fleet.Res // usable once what is being stopped has ended
+	Later   fleet.Res // usable once it is up
+	Images  func(image string) bool
+	Victims []Victim // running work that may be stopped
+	Avoid   func(uid string) bool
+}
+
+// Victim is a task that a job of a higher level may displace.
+type Victim struct {
+	ID    int // the caller's handle
+	Level int
+	Need  fleet.Res
+	Loss  float64 // seconds of work lost if it is stopped
+}
+
+// Job is a job with tasks that wait.
+type Job struct {
+	Spec    *wire.Work
+	Level   int
+	AtMs    int64
+	Waiting int            // tasks without an attempt
+	Live    int            // attempts that are not provably off
+	ByYard  map[string]int // the same by zone
+	WaitedS float64
+}
+
+// Team is what a team uses and may use; a limit of 0 is none.
+type Team struct {
+	Used, Limit struct{ Cores, Gpus float64 }
+}
+
+// Input is the picture of one round.
+type Input struct {
+	Nodes      []Node
+	Jobs       []*Job // in any order
+	Teams      map[string]*Team
+	Window     int
+	ReserveS   float64 // a top job that waited longer than this gets a reservation
+	Priorities [5]float64
+}
+
+// Place puts Count tasks of a job on a node.
+type Place struct {
+	Job   *Job
+	Node  int
+	Count int
+}
+
+// Short is demand that no machine, present or booting, has room for.
+type Short struct {
+	Job   *Job
+	Count int
+}
+
+// Plan is the outcome of a round.
+type Plan struct {
+	Places    []Place
+	Stops     []int // victims, by handle
+	Shorts    []Short
+	Objective float64
+	Window    int // jobs looked at
+	Reserved  string
+	LeftSoon  []fleet.Res // what the round leaves of each node, by layer
+	LeftLater []fleet.Res
+}
+
+// DefaultPriorities is p_j by level: each rank outweighs a window full of the
+// rank below only when the window is small; order is kept by the pass itself.
+var DefaultPriorities = [5]float64{0, 1, 4, 16, 64}
+
+// Order sorts jobs by rank, then age, then id.
+func Order(jobs []*Job) {
+	slices.SortFunc(jobs, func(a, b *Job) int {
+		return cmp.Or(cmp.Compare(b.Level, a.Level), cmp.Compare(a.AtMs, b.AtMs), cmp.Compare(a.Spec.Uid, b.Spec.Uid))
+	})
+}
+
+// layer picks which of a node's amounts a fit uses.
+type layer int
+
+const (
+	now layer = iota
+	soon
+	later
+	layers
+)
+
+type round struct {
+	in       *Input
+	plan     *Plan
+	room     [layers][]fleet.Res
+	stopped  map[int]bool
+	reserved []bool // nodes kept for the job that has a reservation
+}
+
+// Run does one round.
+func Run(in *Input) *Plan {
+	r := &round{in: in, plan: &Plan{}, stopped: map[int]bool{}, reserved: make([]bool, len(in.Nodes))}
+	for l := range r.room {
+		r.room[l] = make([]fleet.Res, len(in.Nodes))
+	}
+	for i := range in.Nodes {
+		n := &in.Nodes[i]
+		r.room[now][i], r.room[soon][i], r.room[later][i] = n.Free, n.Soon, n.Later
+	}
+	window := slices.Clone(in.Jobs)
+	Order(window)
+	if len(window) > in.Window {
+		window = window[:in.Window]
+	}
+	r.plan.Window = len(window)
+	// GPU work first, CPU-only work on what is left; one that waited long
+	// keeps its turn.
+	cpuOnly := func(j *Job) bool { return j.Spec.Gpus == 0 && j.WaitedS <= in.ReserveS }
+	top := true
+	for pass := range 2 {
+		for _, j := range window {
+			if cpuOnly(j) != (pass == 1) {
+				continue
+			}
+			r.job(j, top)
+			top = false
+		}
+	}
+	r.plan.LeftSoon, r.plan.LeftLater = r.room[soon], r.room[later]
+	return r.plan
+}
+
+// job starts what fits of j, and plans for the rest.
+func (r *round) job(j *Job, top bool) {
+	want := r.quota(j)
+	if want == 0 {
+		return
+	}
+	left := want - r.fit(j, want, now, true)
+	if left == 0 {
+		return
+	}
+	if left -= r.fit(j, left, soon, false); left == 0 {
+		return // room is being made
+	}
+	if left -= r.preempt(j, left); left == 0 {
+		return
+	}
+	nothing := left == want
+	if left -= r.fit(j, left, later, false); left == 0 {
+		return // a machine that boots will take it
+	}
+	if top && nothing && j.WaitedS > r.in.ReserveS {
+		r.reserve(j, left)
+	}
+	r.plan.Shorts = append(r.plan.Shorts, Short{j, left})
+}
+
+// quota is how many waiting tasks the limit of the job's team allows.
+func (r *round) quota(j *Job) int {
+	want := j.Waiting
+	t := r.in.Teams[j.Spec.Crew]
+	if t == nil {
+		return 0
+	}
+	for _, q := range [...][3]float64{{t.Limit.Cores, t.Used.Cores, j.Spec.Cores}, {t.Limit.Gpus, t.Used.Gpus, j.Spec.Gpus}} {
+		if q[0] > 0 && q[2] > 0 {
+			want = min(want, int((q[0]-q[1]+1e-6)/q[2]))
+		}
+	}
+	if want < j.Waiting && whole(j) {
+		return 0
+	}
+	return max(want, 0)
+}
+
+// whole reports whether the job starts with all its tasks or not at all. A job
+// that runs already only gets back what it lost.
+func whole(j *Job) bool {
+	return (j.Spec.Shape == wire.Standing || j.Spec.Together) && j.Live == 0
+}
+
+// Allowed reports whether a job may use a machine of this kind at all.
+func Allowed(w *wire.Work, rig, yard string, standby bool) bool {
+	return (len(w.Rigs) == 0 || slices.Contains(w.Rigs, rig)) && (w.Yard == "" || w.Yard == yard) && (!standby || w.Standby)
+}
+
+type option struct {
+	node  int
+	count int
+	image bool
+	spare float64
+}
+
+// fit finds room for up to want tasks of j in a layer and takes it. With start
+// set the tasks are launched; otherwise the room is only kept for them.
+func (r *round) fit(j *Job, want int, l layer, start bool) int {
+	var places []Place
+	if j.Spec.Together {
+		places = r.together(j, want, l)
+	} else {
+		places = r.choose(j, want, l, "")
+	}
+	n := count(places)
+	if n == 0 || (whole(j) && n < j.Waiting) {
+		return 0
+	}
+	r.take(j, places, start)
+	return n
+}
+
+func count(places []Place) int {
+	n := 0
+	for _, p := range places {
+		n += p.Count
+	}
+	return n
+}
+
+// together tries each zone and takes the one that holds most, on the fewest
+// machines. A job that has tasks in a zone stays there.
+func (r *round) together(j *Job, want int, l layer) []Place {
+	for yard, n := range j.ByYard {
+		if n > 0 {
+			return r.choose(j, want, l, yard)
+		}
+	}
+	var best []Place
+	for _, yard := range r.yards() {
+		p := r.choose(j, want, l, yard)
+		if count(p) > count(best) || (count(p) == count(best) && len(p) < len(best)) {
+			best = p
+		}
+	}
+	return best
+}
+
+func (r *round) yards() []string {
+	var yards []string
+	for i := range r.in.Nodes {
+		if y := r.in.Nodes[i].Yard; !slices.Contains(yards, y) {
+			yards = append(yards, y)
+		}
+	}
+	slices.Sort(yards)
+	return yards
+}
+
+// yardCap is how many more tasks of j each zone may hold.
+func yardCap(j *Job, yard string) int {
+	if !j.Spec.Scatter {
+		return j.Spec.Legs
+	}
+	return (j.Spec.Legs+1)/2 - j.ByYard[yard]
+}
+
+func (r *round) usable(j *Job, i int, yard string) bool {
+	n := &r.in.Nodes[i]
+	return !r.reserved[i] && (yard == "" || n.Yard == yard) &&
+		Allowed(j.Spec, n.Rig, n.Yard, n.Standby) && (n.Avoid == nil || !n.Avoid(j.Spec.Uid))
+}
+
+// choose picks nodes for up to want tasks: those that have the image first,
+// then those that need the fewest machines, then the tightest fit. CPU-only
+// work goes where the fewest GPUs are free.
+func (r *round) choose(j *Job, want int, l layer, yard string) []Place {
+	need := fleet.Need(j.Spec)
+	var opts []option
+	for i := range r.in.Nodes {
+		if !r.usable(j, i, yard) {
+			continue
+		}
+		free := r.room[l][i]
+		c := free.Count(need, want)
+		if c == 0 {
+			continue
+		}
+		n := &r.in.Nodes[i]
+		spare := free.Gpus - float64(c)*need.Gpus + (free.Cores-float64(c)*need.Cores)/max(n.Cap.Cores, 1)
+		if need.Gpus == 0 {
+			spare = free.Gpus
+		}
+		opts = append(opts, option{i, c, n.Images != nil && n.Images(j.Spec.Rollout), spare})
+	}
+	slices.SortFunc(opts, func(a, b option) int {
+		na, nb := &r.in.Nodes[a.node], &r.in.Nodes[b.node]
+		if c := cmp.Compare(b2i(nb.Standby), b2i(na.Standby)); c != 0 {
+			return c // work that may use spot machines leaves the others free
+		}
+		if c := cmp.Compare(b2i(b.image), b2i(a.image)); c != 0 {
+			return c
+		}
+		return cmp.Or(cmp.Compare(b.count, a.count), cmp.Compare(a.spare, b.spare), cmp.Compare(na.ID, nb.ID))
+	})
+	var places []Place
+	taken := map[string]int{}
+	for _, o := range opts {
+		y := r.in.Nodes[o.node].Yard
+		c := min(o.count, want, yardCap(j, y)-taken[y])
+		if c <= 0 {
+			continue
+		}
+		places = append(places, Place{j, o.node, c})
+		taken[y] += c
+		if want -= c; want == 0 {
+			break
+		}
+	}
+	return places
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// take books the places against every layer, so that nobody later in the
+// window uses the room, and against the limit of the team.
+func (r *round) take(j *Job, places []Place, start bool) {
+	need := fleet.Need(j.Spec)
+	n := 0
+	for _, p := range places {
+		for range p.Count {
+			for l := range r.room {
+				r.room[l][p.Node] = r.room[l][p.Node].Sub(need)
+			}
+		}
+		n += p.Count
+		j.ByYard[r.in.Nodes[p.Node].Yard] += p.Count
+	}
+	j.Live += n
+	j.Waiting -= n
+	t := r.in.Teams[j.Spec.Crew]
+	t.Used.Cores += float64(n) * need.Cores
+	t.Used.Gpus += float64(n) * need.Gpus
+	if start {
+		r.plan.Places = append(r.plan.Places, places...)
+		c := float64(len(places)) / float64(2*max(1, len(r.in.Nodes)))
+		r.plan.Objective += r.in.Priorities[j.Level] * (1 - c)
+	}
+}
+
+// preempt stops work of lower levels so that up to want tasks of j fit, and
+// keeps the room for them. It never stops work for nothing: a job that starts
+// whole gets all its room or none.
+func (r *round) preempt(j *Job, want int) int {
+	need := fleet.Need(j.Spec)
+	type choice struct {
+		node    int
+		victims []int
+		loss    float64
+	}
+	var choices []choice
+	for i := range r.in.Nodes {
+		if !r.usable(j, i, "") || r.in.Nodes[i].Soon == (fleet.Res{}) && len(r.in.Nodes[i].Victims) == 0 {
+			continue
+		}
+		vs := slices.Clone(r.in.Nodes[i].Victims)
+		slices.SortFunc(vs, func(a, b Victim) int {
+			return cmp.Or(cmp.Compare(a.Level, b.Level), cmp.Compare(a.Loss, b.Loss), cmp.Compare(a.ID, b.ID))
+		})
+		room := r.room[soon][i]
+		for range room.Count(need, want) {
+			choices = append(choices, choice{node: i})
+			room = room.Sub(need)
+		}
+		c := choice{node: i}
+		for _, v := range vs {
+			if v.Level >= j.Level || r.stopped[v.ID] {
+				continue
+			}
+			room = room.Add(v.Need)
+			c.victims = append(c.victims, v.ID)
+			c.loss += v.Loss + 1
+			if room.Holds(need) {
+				choices = append(choices, c)
+				c = choice{node: i}
+				room = room.Sub(need)
+			}
+		}
+	}
+	slices.SortFunc(choices, func(a, b choice) int {
+		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.node, b.node))
+	})
+	var places []Place
+	var stops []int
+	yard := ""
+	for y, n := range j.ByYard {
+		if j.Spec.Together && n > 0 {
+			yard = y
+		}
+	}
+	taken := map[string]int{}
+	for _, c := range choices {
+		y := r.in.Nodes[c.node].Yard
+		if (j.Spec.Together && yard != "" && y != yard) || yardCap(j, y)-taken[y] <= 0 {
+			continue
+		}
+		if j.Spec.Together {
+			yard = y
+		}
+		taken[y]++
+		places = append(places, Place{j, c.node, 1})
+		stops = append(stops, c.victims...)
+		if len(places) == want {
+			break
+		}
+	}
+	if len(places) == 0 || (whole(j) && len(places) < j.Waiting) {
+		return 0
+	}
+	for _, id := range stops {
+		r.stopped[id] = true
+	}
+	r.plan.Stops = append(r.plan.Stops, stops...)
+	for i := range r.in.Nodes {
+		for _, v := range r.in.Nodes[i].Victims {
+			if slices.Contains(stops, v.ID) {
+				r.room[soon][i] = r.room[soon][i].Add(v.Need)
+				r.room[later][i] = r.room[later][i].Add(v.Need)
+			}
+		}
+	}
+	r.take(j, places, false)
+	return len(places)
+}
+
+// reserve keeps the machines for j that have most room already, until their
+// whole capacity would hold it. Later jobs start only elsewhere.
+func (r *round) reserve(j *Job, want int) {
+	need := fleet.Need(j.Spec)
+	var nodes []int
+	for i := range r.in.Nodes {
+		if r.usable(j, i, "") && r.in.Nodes[i].Cap.Count(need, 1) > 0 {
+			nodes = append(nodes, i)
+		}
+	}
+	slices.SortFunc(nodes, func(a, b int) int {
+		return cmp.Or(cmp.Compare(r.room[soon][b].Gpus, r.room[soon][a].Gpus), cmp.Compare(r.room[soon][b].Cores, r.room[soon][a].Cores), cmp.Compare(a, b))
+	})
+	taken := map[string]int{}
+	yard := ""
+	for _, i := range nodes {
+		if want <= 0 {
+			break
+		}
+		y := r.in.Nodes[i].Yard
+		if j.Spec.Together && yard != "" && y != yard {
+			continue
+		}
+		c := min(r.in.Nodes[i].Cap.Count(need, want), yardCap(j, y)-taken[y])
+		if c <= 0 {
+			continue
+		}
+		yard = y
+		taken[y] += c
+		want -= c
+		r.reserved[i] = true
+	}
+	r.plan.Reserved = j.Spec.Uid
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,294 @@
+// Package store speaks to the state service: reads, guarded commits, watches
+// and holds, within this node's share of the service's rate limits.
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// Errors that callers tell apart.
+var (
+	// ErrRefused: the service did not execute the request.
+	ErrRefused = errors.New("state service refused the request")
+	// ErrUnknown: the service may have executed the request, or may do so later.
+	ErrUnknown = errors.New("outcome at the state service is unknown")
+	// ErrNoHold: the hold has ended.
+	ErrNoHold = errors.New("no such hold")
+	// ErrTooOld: a watch asked for changes that are no longer kept.
+	ErrTooOld = errors.New("changes are no longer kept")
+)
+
+// ConflictError tells which guards of a commit failed.
+type ConflictError struct{ Failed []string }
+
+func (e *ConflictError) Error() string { return fmt.Sprintf("guards failed: %v", e.Failed) }
+
+// Client is a client of the state service. It is safe for concurrent use.
+type Client struct {
+	base    string
+	http    *http.Client
+	timeout time.Duration
+	reqs    *rate.Limiter
+	writes  *rate.Limiter
+	proven  atomic.Int64 // start of the last answered request, as time since epoch
+	epoch   time.Time
+}
+
+// New makes a client. Nodes share the limits: each takes at most the share of
+// rps and write_rps that is given.
+func New(addr string, rps, writeRps float64, timeout time.Duration) *Client {
+	d := &net.Dialer{Timeout: timeout}
+	return &Client{
+		base:    "http://" + addr,
+		timeout: timeout,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext: d.DialContext, MaxIdleConnsPerHost: 8, MaxConnsPerHost: 24,
+			IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+		}},
+		reqs:   rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
+		writes: rate.NewLimiter(rate.Limit(writeRps), max(1, int(writeRps))),
+		epoch:  time.Now(),
+	}
+}
+
+// ProofAge is the time since the start of the last request that the service
+// executed for this node.
+func (c *Client) ProofAge() time.Duration {
+	p := c.proven.Load()
+	if p == 0 {
+		return time.Duration(1<<62 - 1)
+	}
+	return time.Since(c.epoch) - time.Duration(p)
+}
+
+// prove records that a request begun at start was executed.
+func (c *Client) prove(start time.Time) {
+	at := int64(start.Sub(c.epoch))
+	for {
+		old := c.proven.Load()
+		if old >= at || c.proven.CompareAndSwap(old, max(at, 1)) {
+			return
+		}
+	}
+}
+
+type urgentKey struct{}
+
+// Urgent marks requests that must not queue behind others of this node for its
+// share of the rate: the leader's hold depends on them.
+func Urgent(ctx context.Context) context.Context {
+	return context.WithValue(ctx, urgentKey{}, true)
+}
+
+func urgent(ctx context.Context) bool { return ctx.Value(urgentKey{}) != nil }
+
+// call does one request. It returns the status and the body, or ErrRefused or
+// ErrUnknown.
+func (c *Client) call(ctx context.Context, method, path string, body any, wait time.Duration) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+wait)
+	defer cancel()
+	if urgent(ctx) {
+		c.reqs.Allow() // counts against the budget but never waits for it
+	} else if err := c.reqs.Wait(ctx); err != nil {
+		return 0, nil, fmt.Errorf("%w: over this node's budget", ErrRefused)
+	}
+	var rd io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return 0, nil, fmt.Errorf("encode: %w", err)
+		}
+		rd = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, rd)
+	if err != nil {
+		return 0, nil, fmt.Errorf("request: %w", err)
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	start := time.Now()
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	switch resp.StatusCode {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return resp.StatusCode, nil, fmt.Errorf("%w: status %d", ErrRefused, resp.StatusCode)
+	}
+	if wait == 0 { // a watch may have waited through an outage: it proves nothing
+		c.prove(start)
+	}
+	return resp.StatusCode, data, nil
+}
+
+// Get reads one key; ok is false if it does not exist.
+func (c *Client) Get(ctx context.Context, key string) (item wire.Item, ok bool, err error) {
+	status, data, err := c.call(ctx, http.MethodGet, "/kv/"+key, nil, 0)
+	if err != nil {
+		return wire.Item{}, false, fmt.Errorf("get %s: %w", key, err)
+	}
+	switch status {
+	case http.StatusOK:
+		if err := json.Unmarshal(data, &item); err != nil {
+			return wire.Item{}, false, fmt.Errorf("get %s: %w", key, err)
+		}
+		return item, true, nil
+	case http.StatusNotFound:
+		return wire.Item{}, false, nil
+	}
+	return wire.Item{}, false, fmt.Errorf("get %s: status %d", key, status)
+}
+
+// List reads all keys under a prefix. The epoch is that of the first page:
+// whoever watches from there sees every later change.
+func (c *Client) List(ctx context.Context, under string) ([]wire.Item, uint64, error) {
+	var rows []wire.Item
+	var epoch uint64
+	after := ""
+	for {
+		q := url.Values{"Under": {under}, "Most": {"500"}}
+		if after != "" {
+			q.Set("After", after)
+		}
+		status, data, err := c.call(ctx, http.MethodGet, "/kv?"+q.Encode(), nil, 0)
+		if err != nil {
+			return nil, 0, fmt.Errorf("list %s: %w", under, err)
+		}
+		if status != http.StatusOK {
+			return nil, 0, fmt.Errorf("list %s: status %d", under, status)
+		}
+		var page wire.Items
+		if err := json.Unmarshal(data, &page); err != nil {
+			return nil, 0, fmt.Errorf("list %s: %w", under, err)
+		}
+		if epoch == 0 {
+			epoch = page.Epoch
+		}
+		rows = append(rows, page.Rows...)
+		if !page.More || len(page.Rows) == 0 {
+			return rows, epoch, nil
+		}
+		after = page.Rows[len(page.Rows)-1].Key
+	}
+}
+
+// Commit applies a guarded transaction and returns its epoch. Its error is a
+// *ConflictError, ErrNoHold, ErrRefused (nothing happened) or ErrUnknown.
+func (c *Client) Commit(ctx context.Context, tx wire.Commit) (uint64, error) {
+	if n := len(tx.Apply); n > 0 && !urgent(ctx) {
+		wctx, cancel := context.WithTimeout(ctx, c.timeout)
+		err := c.writes.WaitN(wctx, min(n, c.writes.Burst()))
+		cancel()
+		if err != nil {
+			return 0, fmt.Errorf("commit: %w: over this node's write budget", ErrRefused)
+		}
+	}
+	if tx.Guards == nil {
+		tx.Guards = []wire.Guard{}
+	}
+	if tx.Apply == nil {
+		tx.Apply = []wire.Change{}
+	}
+	status, data, err := c.call(ctx, http.MethodPost, "/commit", tx, 0)
+	if err != nil {
+		return 0, fmt.Errorf("commit: %w", err)
+	}
+	var reply wire.CommitReply
+	switch status {
+	case http.StatusOK, http.StatusConflict:
+		if err := json.Unmarshal(data, &reply); err != nil {
+			return 0, fmt.Errorf("commit: %w: %w", ErrUnknown, err)
+		}
+		if status == http.StatusConflict {
+			return 0, &ConflictError{Failed: reply.Failed}
+		}
+		return reply.Epoch, nil
+	case http.StatusBadRequest:
+		if bytes.Contains(data, []byte("lease")) || bytes.Contains(data, []byte("hold")) {
+			return 0, fmt.Errorf("commit: %w", ErrNoHold)
+		}
+	}
+	return 0, fmt.Errorf("commit: %w: status %d: %.200s", ErrRefused, status, data)
+}
+
+// Changes waits up to hold for changes under a prefix after an epoch.
+func (c *Client) Changes(ctx context.Context, under string, after uint64, hold time.Duration) (wire.Changes, error) {
+	q := url.Values{"Under": {under}, "After": {strconv.FormatUint(after, 10)},
+		"HoldMs": {strconv.FormatInt(hold.Milliseconds(), 10)}}
+	status, data, err := c.call(ctx, http.MethodGet, "/changes?"+q.Encode(), nil, hold)
+	if err != nil {
+		return wire.Changes{}, fmt.Errorf("watch %s: %w", under, err)
+	}
+	switch status {
+	case http.StatusOK:
+		var ch wire.Changes
+		if err := json.Unmarshal(data, &ch); err != nil {
+			return wire.Changes{}, fmt.Errorf("watch %s: %w", under, err)
+		}
+		return ch, nil
+	case http.StatusGone:
+		return wire.Changes{}, ErrTooOld
+	}
+	return wire.Changes{}, fmt.Errorf("watch %s: status %d", under, status)
+}
+
+// OpenHold opens a hold that ends unless it is touched within ttl.
+func (c *Client) OpenHold(ctx context.Context, ttl time.Duration) (uint64, error) {
+	status, data, err := c.call(ctx, http.MethodPost, "/holds", wire.HoldRequest{TtlMs: ttl.Milliseconds()}, 0)
+	if err != nil {
+		return 0, fmt.Errorf("open hold: %w", err)
+	}
+	var h wire.Hold
+	if status != http.StatusOK {
+		return 0, fmt.Errorf("open hold: status %d", status)
+	}
+	if err := json.Unmarshal(data, &h); err != nil {
+		return 0, fmt.Errorf("open hold: %w", err)
+	}
+	return h.Permit, nil
+}
+
+// TouchHold renews a hold.
+func (c *Client) TouchHold(ctx context.Context, permit uint64) error {
+	status, _, err := c.call(ctx, http.MethodPost, "/holds/"+strconv.FormatUint(permit, 10)+"/touch", nil, 0)
+	if err != nil {
+		return fmt.Errorf("touch hold: %w", err)
+	}
+	switch status {
+	case http.StatusOK, http.StatusNoContent:
+		return nil
+	case http.StatusNotFound:
+		return fmt.Errorf("touch hold: %w", ErrNoHold)
+	}
+	return fmt.Errorf("touch hold: status %d", status)
+}
+
+// CloseHold ends a hold at once.
+func (c *Client) CloseHold(ctx context.Context, permit uint64) error {
+	_, _, err := c.call(ctx, http.MethodDelete, "/holds/"+strconv.FormatUint(permit, 10), nil, 0)
+	if err != nil {
+		return fmt.Errorf("close hold: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/wire/wire.go
@@ -0,0 +1,463 @@
+// Package wire holds the JSON bodies that lotusstile exchanges with users,
+// workers, the cloud and the state service. Clients may import it.
+package wire
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+const (
+	// MaxBody is the largest request body that any party accepts.
+	MaxBody = 64 << 10
+	// MaxLegs is the largest number of tasks of one job.
+	MaxLegs = 100_000
+	// MaxRent is the largest number of machines in one rental.
+	MaxRent = 50
+	// MaxReturn is the largest number of names in one return.
+	MaxReturn = 100
+)
+
+// Shape says how the tasks of a job run.
+type Shape string
+
+// The shapes of the protocol.
+const (
+	Sweep    Shape = "sweep"
+	Standing Shape = "standing"
+)
+
+// Rank is the priority of a job.
+type Rank string
+
+// The ranks of the protocol, highest first.
+const (
+	Critical   Rank = "critical"
+	High       Rank = "high"
+	Standard   Rank = "standard"
+	BestEffort Rank = "best_effort"
+)
+
+// Level orders ranks: higher goes first; 0 is no rank at all.
+func (r Rank) Level() int {
+	switch r {
+	case Critical:
+		return 4
+	case High:
+		return 3
+	case Standard:
+		return 2
+	case BestEffort:
+		return 1
+	}
+	return 0
+}
+
+// JobStatus is what users are told of a job.
+type JobStatus string
+
+// The statuses of a job.
+const (
+	JobQueued  JobStatus = "queued"
+	JobRunning JobStatus = "running"
+	JobDone    JobStatus = "done"
+	JobAborted JobStatus = "aborted"
+)
+
+// Final reports whether a status never changes again.
+func (s JobStatus) Final() bool { return s == JobDone || s == JobAborted }
+
+// Work is the body of POST /work.
+type Work struct {
+	Uid      string
+	Berth    string
+	Crew     string
+	Shape    Shape
+	Rank     Rank
+	Legs     int
+	Cores    float64
+	Gpus     float64
+	RamGb    float64
+	Rollout  string
+	ImageGb  float64
+	Rigs     []string `json:",omitempty"`
+	Yard     string   `json:",omitempty"`
+	Together bool     `json:",omitempty"`
+	Scatter  bool     `json:",omitempty"`
+	Standby  bool     `json:",omitempty"`
+	ExpectS  float64  `json:",omitempty"`
+	MarkS    float64  `json:",omitempty"`
+	StowS    float64  `json:",omitempty"`
+	DueS     *float64 `json:",omitempty"`
+}
+
+// workIn tells fields that are missing from fields that are zero.
+type workIn struct {
+	Uid, Berth, Crew, Shape, Rank, Rollout *string
+	Legs, Cores, Gpus, RamGb, ImageGb      *float64
+	Rigs                                   *[]string
+	Yard                                   *string
+	Together, Scatter, Standby             *bool
+	ExpectS, MarkS, StowS, DueS            *float64
+}
+
+// ValidUid reports whether id has the form of a job id: "run-" and six digits
+// or more.
+func ValidUid(id string) bool {
+	digits, ok := strings.CutPrefix(id, "run-")
+	if !ok || len(digits) < 6 || len(digits) > 18 {
+		return false
+	}
+	for _, c := range digits {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return true
+}
+
+const maxAmount = 1e9
+
+// ParseWork decodes and validates a submission. Every error it returns means
+// that the body is malformed (400).
+func ParseWork(body []byte) (Work, error) {
+	var in workIn
+	if t := bytes.TrimLeft(body, " \t\r\n"); len(t) == 0 || t[0] != '{' {
+		return Work{}, errors.New("body is not a JSON object")
+	}
+	if err := json.Unmarshal(body, &in); err != nil {
+		return Work{}, fmt.Errorf("body is not valid: %w", err)
+	}
+	var w Work
+	for _, f := range []struct {
+		name string
+		in   *string
+		out  *string
+	}{
+		{"Uid", in.Uid, &w.Uid}, {"Berth", in.Berth, &w.Berth}, {"Crew", in.Crew, &w.Crew},
+		{"Shape", in.Shape, (*string)(&w.Shape)}, {"Rank", in.Rank, (*string)(&w.Rank)}, {"Rollout", in.Rollout, &w.Rollout},
+	} {
+		if f.in == nil || *f.in == "" {
+			return Work{}, fmt.Errorf("%s is missing", f.name)
+		}
+		if len(*f.in) > 200 {
+			return Work{}, fmt.Errorf("%s is too long", f.name)
+		}
+		*f.out = *f.in
+	}
+	if !ValidUid(w.Uid) {
+		return Work{}, errors.New("Uid has not the form run-000000")
+	}
+	if w.Shape != Sweep && w.Shape != Standing {
+		return Work{}, errors.New("Shape must be sweep or standing")
+	}
+	if w.Rank.Level() == 0 {
+		return Work{}, errors.New("Rank must be critical, high, standard or best_effort")
+	}
+	for _, f := range []struct {
+		name     string
+		in       *float64
+		out      *float64
+		required bool
+		positive bool
+	}{
+		{"Cores", in.Cores, &w.Cores, true, false}, {"Gpus", in.Gpus, &w.Gpus, true, false},
+		{"RamGb", in.RamGb, &w.RamGb, true, false}, {"ImageGb", in.ImageGb, &w.ImageGb, true, false},
+		{"ExpectS", in.ExpectS, &w.ExpectS, false, false}, {"MarkS", in.MarkS, &w.MarkS, false, false},
+		{"StowS", in.StowS, &w.StowS, false, false},
+	} {
+		if f.in == nil {
+			if f.required {
+				return Work{}, fmt.Errorf("%s is missing", f.name)
+			}
+			continue
+		}
+		if *f.in < 0 || *f.in > maxAmount {
+			return Work{}, fmt.Errorf("%s is out of range", f.name)
+		}
+		*f.out = *f.in
+	}
+	if w.Cores == 0 && w.Gpus == 0 {
+		return Work{}, errors.New("a task must ask for Cores or Gpus")
+	}
+	if in.Legs == nil {
+		return Work{}, errors.New("Legs is missing")
+	}
+	if n := *in.Legs; n < 1 || n > MaxLegs || n != float64(int(n)) {
+		return Work{}, fmt.Errorf("Legs must be a whole number from 1 to %d", MaxLegs)
+	}
+	w.Legs = int(*in.Legs)
+	if in.DueS != nil {
+		if *in.DueS < 0 || *in.DueS > maxAmount {
+			return Work{}, errors.New("DueS is out of range")
+		}
+		due := *in.DueS
+		w.DueS = &due
+	}
+	if in.Rigs != nil {
+		if len(*in.Rigs) == 0 {
+			return Work{}, errors.New("Rigs must be null or name a machine type")
+		}
+		w.Rigs = *in.Rigs
+	}
+	if in.Yard != nil {
+		if *in.Yard == "" {
+			return Work{}, errors.New("Yard must be null or name a zone")
+		}
+		w.Yard = *in.Yard
+	}
+	setBool := func(in *bool, out *bool) {
+		if in != nil {
+			*out = *in
+		}
+	}
+	setBool(in.Together, &w.Together)
+	setBool(in.Scatter, &w.Scatter)
+	setBool(in.Standby, &w.Standby)
+	return w, nil
+}
+
+// JobView answers submissions, polls and withdrawals.
+type JobView struct {
+	Uid     string
+	Status  JobStatus
+	Done    int `json:"done"`
+	Running int `json:"running"`
+}
+
+// Fault is the body of an answer that refuses a request.
+type Fault struct {
+	Error string `json:"error"`
+}
+
+// LegStatus is the state of a task on its machine.
+type LegStatus string
+
+// The task states that workers report.
+const (
+	LegFetching LegStatus = "fetching"
+	LegRunning  LegStatus = "running"
+	LegSaving   LegStatus = "saving"
+	LegEnded    LegStatus = "ended"
+)
+
+// Cause says why a task ended.
+type Cause string
+
+// The causes that workers report.
+const (
+	CauseDone    Cause = "done"
+	CauseStopped Cause = "stopped"
+	CauseError   Cause = "error"
+	CauseNoRoom  Cause = "no_room"
+	CauseInUse   Cause = "in_use"
+	CauseNoSuch  Cause = "no_such"
+)
+
+// LegReport is one task of a worker's report.
+type LegReport struct {
+	Leg    string
+	Try    uint64
+	Status LegStatus
+	Cause  Cause `json:",omitempty"`
+	Kept   bool  `json:",omitempty"`
+}
+
+// Report is the body of POST /checkin.
+type Report struct {
+	Host     string
+	Address  string
+	Rig      string
+	Yard     string
+	Standby  bool
+	Shift    uint64
+	Tick     uint64
+	Baton    uint64
+	WarningS *float64
+	Legs     []LegReport
+}
+
+// ParseReport decodes a check-in.
+func ParseReport(body []byte) (Report, error) {
+	var r Report
+	if err := json.Unmarshal(body, &r); err != nil {
+		return Report{}, fmt.Errorf("report is not valid: %w", err)
+	}
+	if r.Host == "" || r.Shift == 0 {
+		return Report{}, errors.New("report lacks Host or Shift")
+	}
+	return r, nil
+}
+
+// Verb is what an order asks of a worker.
+type Verb string
+
+// The verbs of the protocol.
+const (
+	Launch Verb = "launch"
+	Stop   Verb = "stop"
+	Reap   Verb = "reap"
+)
+
+// Order is one command to a worker.
+type Order struct {
+	Verb    Verb
+	Leg     string
+	Try     uint64
+	LeewayS float64 `json:",omitempty"`
+}
+
+// Orders answers a check-in with 200.
+type Orders struct {
+	Baton  uint64
+	Orders []Order
+}
+
+// Direct is the body of POST /do.
+type Direct struct {
+	Baton  uint64
+	Shift  uint64
+	Orders []Order
+}
+
+// Redirect answers a check-in with 421.
+type Redirect struct {
+	Dispatcher string `json:",omitempty"`
+}
+
+// LegName is the name of task leg of job uid.
+func LegName(uid string, leg int) string { return uid + "/" + strconv.Itoa(leg) }
+
+// SplitLeg takes a task's name apart.
+func SplitLeg(name string) (uid string, leg int, ok bool) {
+	uid, num, ok := strings.Cut(name, "/")
+	if !ok || uid == "" {
+		return "", 0, false
+	}
+	n, err := strconv.Atoi(num)
+	if err != nil || n < 0 || strconv.Itoa(n) != num {
+		return "", 0, false
+	}
+	return uid, n, true
+}
+
+// Rig is a machine type of GET /catalog.
+type Rig struct {
+	Sku        string
+	Cores      float64
+	Gpus       float64
+	RamGb      float64
+	LocalGb    float64
+	PullGbPerS float64
+	Hourly     float64
+	LowPrice   float64
+	BootS      float64
+	Yards      []string
+}
+
+// Catalog answers GET /catalog.
+type Catalog struct{ Rigs []Rig }
+
+// RentRequest is the body of POST /machines.
+type RentRequest struct {
+	Booking string
+	Rig     string
+	Yard    string
+	Standby bool
+	HowMany int
+}
+
+// HostNames names machines, in rentals and returns.
+type HostNames struct{ Hosts []string }
+
+// HostStatus is the state of a machine in the cloud's list.
+type HostStatus string
+
+// The states of listed machines.
+const (
+	HostBooting HostStatus = "booting"
+	HostRunning HostStatus = "running"
+	HostFailed  HostStatus = "failed"
+)
+
+// ListedHost is a machine in the cloud's list.
+type ListedHost struct {
+	Uid     string
+	Address string
+	Rig     string
+	Yard    string
+	Standby bool
+	Status  HostStatus
+	AgeS    float64
+}
+
+// HostList answers GET /machines.
+type HostList struct {
+	Hosts []ListedHost
+	More  bool
+}
+
+// Item is a key of the state service.
+type Item struct {
+	Key    string
+	Value  json.RawMessage
+	Stamp  uint64
+	Permit uint64 `json:",omitempty"`
+}
+
+// Items answers GET /kv?Under=.
+type Items struct {
+	Rows  []Item
+	More  bool
+	Epoch uint64
+}
+
+// Guard is a condition of a commit: the key has this stamp (0: is absent).
+type Guard struct {
+	Key   string
+	Stamp uint64
+}
+
+// Change is one write of a commit: a Set with a Value, or a Drop.
+type Change struct {
+	Set    string          `json:",omitempty"`
+	Value  json.RawMessage `json:",omitempty"`
+	Permit uint64          `json:",omitempty"`
+	Drop   string          `json:",omitempty"`
+}
+
+// Commit is the body of POST /commit.
+type Commit struct {
+	Guards []Guard
+	Apply  []Change
+}
+
+// CommitReply answers POST /commit.
+type CommitReply struct {
+	Epoch  uint64
+	Failed []string `json:"failed"`
+}
+
+// Hold answers POST /holds.
+type Hold struct{ Permit uint64 }
+
+// HoldRequest is the body of POST /holds.
+type HoldRequest struct{ TtlMs int64 }
+
+// News is one change seen by a watch.
+type News struct {
+	Set   string
+	Drop  string
+	Value json.RawMessage
+	Stamp uint64
+}
+
+// Changes answers GET /changes.
+type Changes struct {
+	Epoch uint64
+	News  []News
+}
