--- a/cmd/lotusstile/main.go
+++ b/cmd/lotusstile/main.go
@@ -62,7 +62,7 @@
 	// the runtime does not count and for bursts.
 	debug.SetMemoryLimit(int64(cfg.Cluster.Limits.MemMb * (1 << 20) * 2 / 3))
 	debug.SetGCPercent(200)
-	return api.New(cfg).Run(context.Background())
+	return api.New(cfg, api.TCP(cfg)).Run(context.Background())
 }
 
 // Run checks the settings file.
--- a/internal/api/http.go
+++ b/internal/api/http.go
@@ -21,8 +21,8 @@
 	"lotusstile.dev/lotusstile/wire"
 )
 
-// serve answers users, workers and health checks.
-func (n *Node) serve(l net.Listener) error {
+// Handler answers users, workers and health checks.
+func (n *Node) Handler() http.Handler {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.HTTPErrorHandler = func(err error, c echo.Context) {
@@ -48,8 +48,13 @@
 	e.GET("/work/:id", n.poll)
 	e.POST("/work/:id/withdraw", n.withdraw)
 	e.GET("/ready", n.ready)
+	return e
+}
+
+// serve answers on l until it closes.
+func (n *Node) serve(l net.Listener) error {
 	srv := &http.Server{
-		Handler:           e,
+		Handler:           n.Handler(),
 		ReadHeaderTimeout: n.cfg.Lease() / 2,
 		ReadTimeout:       n.cfg.Lease() / 2,
 		WriteTimeout:      n.cfg.Lease(),
--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -49,21 +49,43 @@
 	Stamp uint64
 }
 
+// Network is how a node reaches others.
+type Network struct {
+	State, Cloud, Workers http.RoundTripper
+	Mesh                  peer.Dialer
+}
+
+// TCP is the network of a node that runs as a process of its own.
+func TCP(cfg *config.Config) Network {
+	transport := func(dial time.Duration, conns, idle int, idleFor time.Duration) http.RoundTripper {
+		return &http.Transport{DialContext: (&net.Dialer{Timeout: dial}).DialContext, MaxConnsPerHost: conns,
+			MaxIdleConnsPerHost: idle, IdleConnTimeout: idleFor, DisableCompression: true}
+	}
+	lease, every := cfg.Lease(), cfg.ReportEvery()
+	return Network{
+		State:   transport(lease/5, 24, 8, 3*lease),
+		Cloud:   transport(lease/5, 6, 3, 3*lease),
+		Workers: transport(every/2, 1, 1, every),
+		Mesh: func(addr string, timeout time.Duration) (net.Conn, error) {
+			return net.DialTimeout("tcp", addr, timeout)
+		},
+	}
+}
+
 // New makes a node.
-func New(cfg *config.Config) *Node {
+func New(cfg *config.Config, nw Network) *Node {
 	timeout := cfg.Lease() / 5
 	st := cfg.Cluster.State
 	n := &Node{
 		cfg: cfg,
 		// Followers need little, the leader most: each may use over half.
-		store:    store.New(cfg.Services.State, st.Rps*0.6, st.WriteRps*0.6, timeout),
-		cloud:    cloud.New(cfg.Services.Cloud, cfg.Cluster.Cloud.Rps*0.7, timeout),
+		store:    store.New(cfg.Services.State, st.Rps*0.6, st.WriteRps*0.6, timeout, nw.State),
+		cloud:    cloud.New(cfg.Services.Cloud, cfg.Cluster.Cloud.Rps*0.7, timeout, nw.Cloud),
 		mirror:   ledger.NewMirror(),
-		peers:    peer.Peers(cfg, cfg.HoldTTL()/4),
+		peers:    peer.Peers(cfg, cfg.HoldTTL()/4, nw.Mesh),
 		contacts: map[string]contact{},
 		kept:     map[string]time.Time{},
-		workers: &http.Client{Timeout: cfg.ReportEvery(), Transport: &http.Transport{
-			DialContext: (&net.Dialer{Timeout: cfg.ReportEvery() / 2}).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: cfg.ReportEvery(), DisableCompression: true}},
+		workers:  &http.Client{Timeout: cfg.ReportEvery(), Transport: nw.Workers},
 	}
 	n.finals.known = map[string]wire.JobStatus{}
 	n.settings.Store(&stampedSettings{Settings: ledger.DefaultSettings(cfg.Cluster.Workers.ReportS)})
@@ -71,7 +93,7 @@
 	return n
 }
 
-// Run serves until ctx ends.
+// Run listens and serves until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	mesh, err := net.Listen("tcp", n.cfg.MeshAddr)
 	if err != nil {
@@ -81,17 +103,14 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	srv, err := peer.NewServer(n)
+	if err != nil {
+		return err
+	}
 	errs := make(chan error, 2)
-	go func() { errs <- peer.Serve(mesh, n) }()
+	go func() { errs <- peer.Serve(mesh, srv) }()
 	go func() { errs <- n.serve(users) }()
-	hold, pause := n.cfg.Lease(), n.cfg.HoldTTL()/8
-	go n.mirror.Run(ctx, n.store, hold, pause)
-	go ledger.Follow(ctx, n.store, ledger.SettingsPrefix, 3*hold, pause, n.resetSettings, n.changeSettings)
-	go n.elector.Run(ctx)
-	go n.readCatalog(ctx)
-	for _, p := range n.peers {
-		go n.ping(ctx, p)
-	}
+	n.Start(ctx)
 	slog.Info("serving", "label", n.cfg.Label, "listen", n.cfg.Listen, "mesh", n.cfg.MeshAddr)
 	select {
 	case <-ctx.Done():
@@ -102,6 +121,24 @@
 	return err
 }
 
+// Start begins all that a node does beside answering. It ends with ctx.
+func (n *Node) Start(ctx context.Context) {
+	hold, pause := n.cfg.Lease(), n.cfg.HoldTTL()/8
+	go n.mirror.Run(ctx, n.store, hold, pause)
+	go ledger.Follow(ctx, n.store, ledger.SettingsPrefix, 3*hold, pause, n.resetSettings, n.changeSettings)
+	go n.elector.Run(ctx)
+	go n.readCatalog(ctx)
+	for _, p := range n.peers {
+		go n.ping(ctx, p)
+	}
+	go func() {
+		<-ctx.Done()
+		for _, p := range n.peers {
+			p.Close()
+		}
+	}()
+}
+
 func (n *Node) leadTerm(ctx context.Context, term uint64) {
 	c := controller.New(controller.Deps{Config: n.cfg, Store: n.store, Cloud: n.cloud, Worker: n, Mirror: n.mirror,
 		Settings: func() ledger.Settings { return n.settings.Load().Settings },
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -29,15 +28,11 @@
 	calls   *rate.Limiter
 }
 
-// New makes a client that makes at most rps calls a second.
-func New(addr string, rps float64, timeout time.Duration) *Client {
-	d := &net.Dialer{Timeout: timeout}
+// New makes a client that speaks over rt and makes at most rps calls a second.
+func New(addr string, rps float64, timeout time.Duration, rt http.RoundTripper) *Client {
 	return &Client{
 		base: "http://" + addr, timeout: timeout,
-		http: &http.Client{Transport: &http.Transport{
-			DialContext: d.DialContext, MaxIdleConnsPerHost: 3, MaxConnsPerHost: 6,
-			IdleConnTimeout: 30 * time.Second, DisableCompression: true,
-		}},
+		http:  &http.Client{Transport: rt},
 		calls: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
 	}
 }
--- /dev/null
+++ b/internal/standin/day_test.go
@@ -0,0 +1,362 @@
+package standin_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/api"
+	"lotusstile.dev/lotusstile/internal/config"
+	"lotusstile.dev/lotusstile/internal/peer"
+	"lotusstile.dev/lotusstile/internal/standin"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+const settings = `
+label = "%s"
+location = "%s"
+listen = "%s:80"
+mesh_addr = "%s:81"
+%s
+[services]
+cloud = "cloud:1"
+state = "state:1"
+[cluster]
+size = 3
+zones = ["a", "b"]
+[[cluster.teams]]
+name = "crew"
+cpus_max = 0.0
+gpus_max = 40.0
+[[cluster.teams]]
+name = "free"
+[[cluster.objectives]]
+kind = "wait"
+class = "serve"
+within_s = 15.0
+share = 0.9
+[cluster.workers]
+report_s = 1.0
+lease_s = 10.0
+cancel_s = 40.0
+[cluster.state]
+rps = 400.0
+write_rps = 100.0
+value_kb = 8.0
+txn_ops = 24
+[cluster.cloud]
+rps = 6.0
+list_lag_s = 3.0
+[cluster.machine_limits]
+cores = 1.0
+mem_mb = 100.0
+max_connections = 700
+`
+
+var labels = []string{"n0", "n1", "n2"}
+
+func nodeConfig(t *testing.T, i int) *config.Config {
+	t.Helper()
+	members := ""
+	for j, l := range labels {
+		if j != i {
+			members += fmt.Sprintf("[[members]]\nlabel = %q\nlocation = \"a\"\nendpoint = \"%s:81\"\n", l, l)
+		}
+	}
+	l := labels[i]
+	cfg, err := config.Parse([]byte(fmt.Sprintf(settings, l, "a", l, l, members)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+var catalog = wire.Catalog{Rigs: []wire.Rig{
+	{Sku: "g4", Cores: 32, Gpus: 4, RamGb: 256, LocalGb: 400, PullGbPerS: 2, Hourly: 8, LowPrice: 3, BootS: 15, Yards: []string{"a", "b"}},
+	{Sku: "g8", Cores: 64, Gpus: 8, RamGb: 512, LocalGb: 400, PullGbPerS: 2, Hourly: 18, LowPrice: 6, BootS: 15, Yards: []string{"a", "b"}},
+}}
+
+// day is three controllers in a world of stand-ins.
+type day struct {
+	t     *testing.T
+	w     *standin.World
+	net   *standin.Network
+	stops [3]context.CancelFunc
+}
+
+func newDay(t *testing.T, seed uint64) *day {
+	nw := standin.NewNetwork(rand.New(rand.NewPCG(seed, 1)))
+	d := &day{t: t, net: nw, w: standin.NewWorld(nodeConfig(t, 0), nw, labels, catalog)}
+	for i := range labels {
+		d.start(i)
+	}
+	return d
+}
+
+func (d *day) start(i int) {
+	if d.stops[i] != nil {
+		return
+	}
+	cfg := nodeConfig(d.t, i)
+	l := labels[i]
+	ctx, cancel := context.WithCancel(context.Background())
+	n := api.New(cfg, api.Network{State: d.net.Port(l), Cloud: d.net.Port(l), Workers: d.net.Port(l), Mesh: d.net.Mesh(l + ":81")})
+	srv, err := peer.NewServer(n)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.net.Attach(l, n.Handler(), nil)
+	d.net.Attach(l+":81", n.Handler(), srv)
+	n.Start(ctx)
+	d.stops[i] = cancel
+}
+
+// crash ends a controller at once; what it had in flight may still happen.
+func (d *day) crash(i int) {
+	if d.stops[i] == nil {
+		return
+	}
+	d.net.Attach(labels[i], nil, nil)
+	d.net.Attach(labels[i]+":81", nil, nil)
+	d.stops[i]()
+	d.stops[i] = nil
+}
+
+func (d *day) end() {
+	for i := range labels {
+		d.crash(i)
+	}
+	d.w.StopAll()
+	time.Sleep(2 * time.Minute) // late deliveries and time-outs run out
+}
+
+func (d *day) job(i int, r *rand.Rand) (wire.Work, time.Duration) {
+	s := wire.Work{Uid: fmt.Sprintf("run-%06d", i), Berth: "batch", Crew: "crew", Shape: wire.Sweep, Rank: wire.Standard, Legs: 1 + r.IntN(12),
+		Cores: 4, Gpus: 1, RamGb: 20, Rollout: fmt.Sprintf("img-%d", r.IntN(3)), ImageGb: 4, ExpectS: float64(3 + r.IntN(15)), Standby: true}
+	switch r.IntN(4) {
+	case 0:
+		s.Shape, s.Rank, s.Berth, s.Legs, s.ExpectS, s.Standby = wire.Standing, wire.Critical, "serve", 1+r.IntN(4), 0, false
+		s.Scatter = r.IntN(2) == 0
+		s.Together = !s.Scatter && r.IntN(2) == 0
+		return s, time.Duration(20+r.IntN(60)) * time.Second
+	case 1:
+		s.Crew, s.MarkS, s.StowS = "free", 5, 2
+	case 2:
+		s.Yard, s.Rigs = "b", []string{"g8"}
+	}
+	return s, 0
+}
+
+// trouble is one fault by chance, and what ends it.
+func (d *day) trouble(r *rand.Rand) {
+	i, other := r.IntN(3), r.IntN(3)
+	l := labels[i]
+	long := time.Duration(1+r.IntN(35)) * time.Second
+	outside := []string{"state:1", "cloud:1"}
+	workers := func(f func(host string)) {
+		for k := range 40 {
+			f(fmt.Sprintf("m-%06d", k))
+		}
+	}
+	during := func(f func(on bool)) {
+		go func() {
+			f(true)
+			time.Sleep(long)
+			f(false)
+		}()
+	}
+	switch r.IntN(15) {
+	case 0:
+		d.crash(i)
+		time.AfterFunc(time.Duration(200+r.IntN(6000))*time.Millisecond, func() { d.start(i) })
+	case 1:
+		for j := range labels {
+			d.crash(j)
+			time.AfterFunc(time.Duration(500+r.IntN(6000))*time.Millisecond, func() { d.start(j) })
+		}
+	case 2:
+		during(func(on bool) { d.net.Cut(l, "state:1", on) })
+	case 3:
+		during(func(on bool) { d.net.Refuse(l, "state:1", on) })
+	case 4:
+		during(func(on bool) { workers(func(h string) { d.net.Cut(l, h, on) }) })
+	case 5:
+		during(func(on bool) {
+			for _, o := range outside {
+				d.net.Cut(l, o, on)
+			}
+			for j := range labels {
+				if j != i {
+					d.net.Cut(l, labels[j], on)
+					d.net.Cut(l+":81", labels[j]+":81", on)
+				}
+			}
+		})
+	case 6:
+		during(func(on bool) { d.w.State.SetDown(on) })
+	case 7:
+		if k := d.w.Worker(); k != nil {
+			k.Die()
+		}
+	case 8:
+		if k := d.w.Worker(); k != nil {
+			k.Hang(long)
+		}
+	case 9:
+		if k := d.w.Worker(); k != nil {
+			k.Sicken(long)
+		}
+	case 10:
+		if k := d.w.Worker(); k != nil {
+			during(func(on bool) {
+				for _, n := range labels {
+					d.net.Mute(k.Host, n, on)
+				}
+			})
+		}
+	case 11:
+		if k := d.w.Worker(); k != nil {
+			during(func(on bool) {
+				for _, n := range labels {
+					d.net.Cut(k.Host, n, on)
+				}
+			})
+		}
+	case 13, 14:
+		// A zone with one controller is apart from the rest, and may have lost
+		// the state service too.
+		long += time.Duration(r.IntN(60)) * time.Second
+		stateless := r.IntN(2) == 0
+		during(func(on bool) {
+			d.net.Cut(l, "state:1", on && stateless)
+			for j := range labels {
+				if j != i {
+					d.net.Cut(l+":81", labels[j]+":81", on)
+				}
+			}
+			workers(func(h string) {
+				for j := range labels {
+					if (j == i) != (d.w.YardOf(h) == "a") {
+						d.net.Cut(labels[j], h, on)
+					}
+				}
+			})
+		})
+	case 12:
+		// Left with its workers only.
+		during(func(on bool) {
+			d.net.Cut(l, "state:1", on)
+			d.net.Cut(l+":81", labels[other]+":81", on)
+			d.net.Cut(l+":81", labels[(other+1)%3]+":81", on)
+		})
+	}
+}
+
+func quiet(t *testing.T) {
+	old := slog.Default()
+	var out io.Writer = io.Discard
+	if os.Getenv("DAY_LOG") != "" {
+		out = os.Stderr
+	}
+	slog.SetDefault(slog.New(slog.NewTextHandler(out, nil)))
+	t.Cleanup(func() { slog.SetDefault(old) })
+}
+
+// play plays a day of faults by chance and returns the rules it broke.
+func play(t *testing.T, seed uint64, faults int) (broken []string, started int) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDay(t, seed)
+		r := rand.New(rand.NewPCG(seed, 2))
+		d.w.AddMachines("g8", "a", 2)
+		d.w.AddMachines("g8", "b", 2)
+		time.Sleep(3 * time.Second)
+		stormy := 150 * time.Second
+		deadline := time.Now().Add(stormy + 240*time.Second)
+		var users sync.WaitGroup
+		for i := range 24 {
+			spec, stay := d.job(i, r)
+			at := time.Duration(r.IntN(120)) * time.Second
+			users.Add(1)
+			go func() {
+				defer users.Done()
+				time.Sleep(at)
+				d.w.User(spec, stay, deadline)
+			}()
+		}
+		go d.w.Watch(deadline)
+		for range faults {
+			at := time.Duration(5+r.IntN(140)) * time.Second
+			tr := rand.New(rand.NewPCG(r.Uint64(), 3))
+			time.AfterFunc(at, func() { d.trouble(tr) })
+		}
+		time.Sleep(stormy + 40*time.Second)
+		d.net.Heal()
+		d.w.State.SetDown(false)
+		for i := range labels {
+			d.start(i)
+		}
+		users.Wait()
+		time.Sleep(time.Until(deadline))
+		if left := d.w.State.Keys("j/"); len(left) > 0 {
+			t.Logf("seed %d: not archived: %v", seed, left)
+		}
+		broken, started = d.w.Broken(), d.w.Started()
+		d.end()
+	})
+	return broken, started
+}
+
+// The rules hold on days of crashes, cuts, outages, dead, hung, sick and deaf
+// machines, late transactions and late copies of reports, and every accepted
+// job is over some time after the last fault.
+func TestRulesHoldWhateverFails(t *testing.T) {
+	quiet(t)
+	days := 12
+	if testing.Short() {
+		days = 3
+	}
+	for seed := range uint64(days) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			broken, started := play(t, seed, int(3+seed))
+			if started == 0 {
+				t.Error("no task was started")
+			}
+			if len(broken) > 0 {
+				t.Errorf("%d rules broken:\n%s", len(broken), strings.Join(broken, "\n"))
+			}
+		})
+	}
+}
+
+// The judge of the rules sees what it is there to see.
+func TestJudgeCanFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := standin.NewNetwork(rand.New(rand.NewPCG(1, 1)))
+		w := standin.NewWorld(nodeConfig(t, 0), nw, labels, catalog)
+		w.AddMachines("g8", "a", 2)
+		w.AddMachines("g8", "b", 1)
+		spec := wire.Work{Uid: "run-000001", Crew: "crew", Shape: wire.Standing, Legs: 2, Gpus: 21, Scatter: true, Rigs: []string{"g8"}}
+		deadline := time.Now().Add(time.Second)
+		w.User(spec, 0, deadline) // nobody answers: it is only made known
+		w.Start("run-000001/0", "m-000000", "g8", "a", false)
+		w.Start("run-000001/0", "m-000001", "g8", "a", false)
+		w.Start("run-000001/1", "m-000002", "g4", "b", true)
+		w.Start("run-000009/0", "m-000002", "g8", "b", false)
+		all := strings.Join(w.Broken(), "\n")
+		for _, rule := range []string{"ran_twice", "wrong_place", "quota", "invented"} {
+			if !strings.Contains(all, rule) {
+				t.Errorf("%s is not seen in:\n%s", rule, all)
+			}
+		}
+		w.StopAll()
+		time.Sleep(time.Minute)
+	})
+}
--- /dev/null
+++ b/internal/standin/network.go
@@ -0,0 +1,211 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/rpc"
+	"sync"
+	"time"
+)
+
+// Network carries requests between the parties of a day, by name.
+type Network struct {
+	mu     sync.Mutex
+	rng    *rand.Rand
+	hosts  map[string]http.Handler
+	meshes map[string]*rpc.Server
+	conns  map[string][]net.Conn
+	cut    map[[2]string]bool // requests from, to hang
+	mute   map[[2]string]bool // answers to requests from, to are lost
+	refuse map[[2]string]bool // answered 503
+	Late   float64            // share of lost requests that are carried out later
+}
+
+// NewNetwork makes a network that is whole.
+func NewNetwork(rng *rand.Rand) *Network {
+	return &Network{rng: rng, hosts: map[string]http.Handler{}, meshes: map[string]*rpc.Server{}, conns: map[string][]net.Conn{},
+		cut: map[[2]string]bool{}, mute: map[[2]string]bool{}, refuse: map[[2]string]bool{}, Late: 0.5}
+}
+
+// Chance draws a number from 0 to n-1.
+func (n *Network) Chance(limit int) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.rng.IntN(limit)
+}
+
+// Attach lets a party answer under a name; nil takes it off.
+func (n *Network) Attach(name string, h http.Handler, mesh *rpc.Server) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hosts[name], n.meshes[name] = h, mesh
+	if h == nil {
+		for _, c := range n.conns[name] {
+			c.Close()
+		}
+		delete(n.conns, name)
+	}
+}
+
+func set(m map[[2]string]bool, from, to string, on bool) {
+	if on {
+		m[[2]string{from, to}] = true
+	} else {
+		delete(m, [2]string{from, to})
+	}
+}
+
+// Cut parts two parties in both directions, or joins them again.
+func (n *Network) Cut(a, b string, on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	set(n.cut, a, b, on)
+	set(n.cut, b, a, on)
+	if on {
+		for _, x := range []string{a, b} {
+			for _, c := range n.conns[x] {
+				c.Close()
+			}
+			delete(n.conns, x)
+		}
+	}
+}
+
+// Mute loses the answers to what one party asks another.
+func (n *Network) Mute(from, to string, on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	set(n.mute, from, to, on)
+}
+
+// Refuse makes one party's requests to another get 503.
+func (n *Network) Refuse(from, to string, on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	set(n.refuse, from, to, on)
+}
+
+// Heal ends all cuts.
+func (n *Network) Heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.cut)
+	clear(n.mute)
+	clear(n.refuse)
+}
+
+var errNoAnswer = errors.New("no answer")
+
+type port struct {
+	n    *Network
+	from string
+}
+
+// Port is the network as one party sees it.
+func (n *Network) Port(from string) http.RoundTripper { return port{n, from} }
+
+// RoundTrip carries one request.
+func (p port) RoundTrip(req *http.Request) (*http.Response, error) {
+	to := req.URL.Host
+	var body []byte
+	if req.Body != nil {
+		var err error
+		if body, err = io.ReadAll(req.Body); err != nil {
+			return nil, err
+		}
+	}
+	link := [2]string{p.from, to}
+	p.n.mu.Lock()
+	h, cut, mute, refuse := p.n.hosts[to], p.n.cut[link], p.n.mute[link], p.n.refuse[link]
+	late := p.n.rng.Float64() < p.n.Late
+	lateness := time.Duration(p.n.rng.Int64N(int64(40 * time.Second)))
+	delay := time.Duration(500+p.n.rng.IntN(2500)) * time.Microsecond
+	p.n.mu.Unlock()
+	ctx := req.Context()
+	serve := func(ctx context.Context, h http.Handler) *httptest.ResponseRecorder {
+		rec := httptest.NewRecorder()
+		r := httptest.NewRequestWithContext(ctx, req.Method, req.URL.String(), bytes.NewReader(body))
+		h.ServeHTTP(rec, r)
+		return rec
+	}
+	wait := func(d time.Duration) bool {
+		t := time.NewTimer(d)
+		defer t.Stop()
+		select {
+		case <-ctx.Done():
+			return false
+		case <-t.C:
+			return true
+		}
+	}
+	if cut {
+		if late {
+			// The packets are held back and delivered after all.
+			go func() {
+				time.Sleep(lateness)
+				p.n.mu.Lock()
+				h := p.n.hosts[to]
+				p.n.mu.Unlock()
+				if h != nil {
+					lctx, cancel := context.WithTimeout(context.Background(), time.Second)
+					defer cancel()
+					serve(lctx, h)
+				}
+			}()
+		}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if !wait(delay) {
+		return nil, ctx.Err()
+	}
+	if h == nil {
+		return nil, errNoAnswer
+	}
+	if refuse {
+		rec := httptest.NewRecorder()
+		rec.WriteHeader(http.StatusServiceUnavailable)
+		return rec.Result(), nil
+	}
+	done := make(chan *httptest.ResponseRecorder, 1)
+	go func() { done <- serve(ctx, h) }()
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case rec := <-done:
+		p.n.mu.Lock()
+		gone := p.n.hosts[to] == nil
+		p.n.mu.Unlock()
+		if mute {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		if gone || !wait(delay) {
+			return nil, errNoAnswer
+		}
+		return rec.Result(), nil
+	}
+}
+
+// Mesh dials between controllers as one of them.
+func (n *Network) Mesh(from string) func(addr string, timeout time.Duration) (net.Conn, error) {
+	return func(addr string, timeout time.Duration) (net.Conn, error) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		srv := n.meshes[addr]
+		if srv == nil || n.cut[[2]string{from, addr}] {
+			return nil, errNoAnswer
+		}
+		a, b := net.Pipe()
+		n.conns[from] = append(n.conns[from], a)
+		n.conns[addr] = append(n.conns[addr], b)
+		go srv.ServeConn(b)
+		return a, nil
+	}
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,400 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// Worker is one machine and the worker on it.
+type Worker struct {
+	Host, Rig, Yard string
+	Standby         bool
+
+	w    *World
+	born time.Time
+	boot time.Duration
+	died atomic.Int64 // when, after born; 0 while it lives
+
+	mu       sync.Mutex
+	dead     bool
+	hungTill time.Time
+	sickTill time.Time
+	shift    uint64
+	tick     uint64
+	baton    uint64
+	answered time.Time // when the last answered report was sent
+	node     int
+	legs     map[legKey]*leg
+	images   map[string]bool
+	poke     chan struct{}
+	stop     chan struct{}
+}
+
+type legKey struct {
+	name string
+	try  uint64
+}
+
+type leg struct {
+	status wire.LegStatus
+	cause  wire.Cause
+	kept   bool
+	on     bool
+	due    time.Time // of the next change
+}
+
+func newWorker(w *World, host, rig, yard string, standby bool, boot time.Duration) *Worker {
+	return &Worker{Host: host, Rig: rig, Yard: yard, Standby: standby, w: w, born: time.Now(), boot: boot, shift: 1,
+		legs: map[legKey]*leg{}, images: map[string]bool{}, poke: make(chan struct{}, 1), stop: make(chan struct{})}
+}
+
+// gone is how long ago the machine went, or negative.
+func (k *Worker) gone() time.Duration {
+	at := k.died.Load()
+	if at == 0 {
+		return -1
+	}
+	return time.Since(k.born) - time.Duration(at)
+}
+
+// Die ends the machine with all on it.
+func (k *Worker) Die() {
+	k.mu.Lock()
+	if k.dead {
+		k.mu.Unlock()
+		return
+	}
+	k.dead = true
+	k.died.Store(max(1, int64(time.Since(k.born))))
+	close(k.stop)
+	off := k.killAll()
+	k.mu.Unlock()
+	for _, name := range off {
+		k.w.End(name, k.Host, false)
+	}
+	k.w.Net.Attach(k.Host, nil, nil)
+}
+
+// Hang stops the machine for a while; it goes on later, within its lease or not.
+func (k *Worker) Hang(d time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.hungTill = time.Now().Add(d)
+}
+
+// Sicken makes every task that starts in the next while fail.
+func (k *Worker) Sicken(d time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.sickTill = time.Now().Add(d)
+}
+
+// killAll forgets all tasks and returns those that were on the machine. k.mu
+// is held.
+func (k *Worker) killAll() []string {
+	var off []string
+	for key, l := range k.legs {
+		if l.on {
+			off = append(off, key.name)
+		}
+	}
+	slices.Sort(off)
+	k.legs = map[legKey]*leg{}
+	return off
+}
+
+func (k *Worker) changed() {
+	select {
+	case k.poke <- struct{}{}:
+	default:
+	}
+}
+
+// run is the machine's life: it boots, then reports and runs its tasks.
+func (k *Worker) run() {
+	if !k.pause(k.boot) {
+		return
+	}
+	k.mu.Lock()
+	k.answered = time.Now()
+	k.node = k.w.Net.Chance(len(k.w.Nodes))
+	k.mu.Unlock()
+	go k.work()
+	every := k.w.Cfg.ReportEvery()
+	for {
+		next := every*3/4 + time.Duration(k.w.Net.Chance(int(every/2)))
+		select {
+		case <-k.stop:
+			return
+		case <-time.After(next):
+		case <-k.poke:
+			if !k.pause(200 * time.Millisecond) {
+				return
+			}
+		}
+		if !k.pause(k.hang()) {
+			return
+		}
+		if !k.report() && !k.pause(time.Second) {
+			return
+		}
+	}
+}
+
+func (k *Worker) hang() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return max(0, time.Until(k.hungTill))
+}
+
+func (k *Worker) pause(d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-k.stop:
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// body makes the report as it stands. k.mu is held.
+func (k *Worker) body() []byte {
+	k.tick++
+	r := wire.Report{Host: k.Host, Address: k.Host, Rig: k.Rig, Yard: k.Yard, Standby: k.Standby, Shift: k.shift, Tick: k.tick, Baton: k.baton, Legs: []wire.LegReport{}}
+	for key, l := range k.legs {
+		r.Legs = append(r.Legs, wire.LegReport{Leg: key.name, Try: key.try, Status: l.status, Cause: l.cause, Kept: l.kept})
+	}
+	data, err := json.Marshal(r)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// report sends one report; false means that the next node is to be tried.
+func (k *Worker) report() bool {
+	k.mu.Lock()
+	sent := time.Now()
+	k.mind(sent)
+	shift := k.shift
+	data := k.body()
+	node := k.w.Nodes[k.node]
+	if k.tick%7 == 0 {
+		// A copy of this report arrives much later.
+		go func() {
+			if k.pause(time.Duration(2+k.w.Net.Chance(25)) * time.Second) {
+				k.post(k.w.Nodes[k.w.Net.Chance(len(k.w.Nodes))], data, 4*time.Second)
+			}
+		}()
+	}
+	k.mu.Unlock()
+	status, body := k.post(node, data, 4*time.Second)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch status {
+	case http.StatusOK:
+		var o wire.Orders
+		if json.Unmarshal(body, &o) != nil || o.Baton < k.baton {
+			return true // dropped
+		}
+		if k.shift != shift {
+			return true
+		}
+		if o.Baton > k.baton {
+			k.baton = o.Baton
+			k.changed()
+		}
+		k.answered = sent
+		k.execute(o.Orders)
+		return true
+	case http.StatusMisdirectedRequest:
+		var to wire.Redirect
+		if json.Unmarshal(body, &to) == nil {
+			if i := slices.Index(k.w.Nodes, to.Dispatcher); i >= 0 && i != k.node {
+				k.node = i
+				k.changed()
+				return true
+			}
+		}
+	}
+	k.node = (k.node + 1) % len(k.w.Nodes)
+	return false
+}
+
+func (k *Worker) post(node string, data []byte, timeout time.Duration) (int, []byte) {
+	client := http.Client{Transport: k.w.Net.Port(k.Host), Timeout: timeout}
+	resp, err := client.Post("http://"+node+"/checkin", "application/json", bytes.NewReader(data))
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, body
+}
+
+// execute carries out orders. k.mu is held.
+func (k *Worker) execute(orders []wire.Order) {
+	for _, o := range orders {
+		key := legKey{o.Leg, o.Try}
+		l := k.legs[key]
+		switch o.Verb {
+		case wire.Launch:
+			if l != nil {
+				continue
+			}
+			k.w.judgeLaunch(o.Leg, o.Try, k.Host)
+			l = &leg{status: wire.LegFetching, due: time.Now().Add(time.Duration(1+k.w.Net.Chance(4)) * time.Second)}
+			for other, ol := range k.legs {
+				if other.name == o.Leg && ol.status != wire.LegEnded {
+					l.status, l.cause = wire.LegEnded, wire.CauseInUse
+				}
+			}
+			if l.status != wire.LegEnded && !k.room(o.Leg) {
+				l.status, l.cause = wire.LegEnded, wire.CauseNoRoom
+			}
+			k.legs[key] = l
+		case wire.Stop:
+			if l == nil || l.status == wire.LegEnded {
+				continue
+			}
+			uid, _, _ := wire.SplitLeg(o.Leg)
+			s := k.spec(uid)
+			if l.status == wire.LegRunning && s.MarkS > 0 && o.LeewayS >= s.StowS {
+				l.status, l.due = wire.LegSaving, time.Now().Add(time.Duration(s.StowS*float64(time.Second)))
+			} else if l.status != wire.LegSaving || o.LeewayS == 0 {
+				k.end(key, l, wire.CauseStopped)
+			}
+		case wire.Reap:
+			if l != nil && l.status == wire.LegEnded {
+				delete(k.legs, key)
+			}
+		}
+		k.changed()
+	}
+}
+
+func (k *Worker) spec(uid string) wire.Work {
+	k.w.mu.Lock()
+	defer k.w.mu.Unlock()
+	return k.w.specs[uid]
+}
+
+func (k *Worker) room(name string) bool {
+	uid, _, _ := wire.SplitLeg(name)
+	need := k.spec(uid)
+	cores, gpus := need.Cores, need.Gpus
+	for key, l := range k.legs {
+		if l.status != wire.LegEnded {
+			u, _, _ := wire.SplitLeg(key.name)
+			s := k.spec(u)
+			cores, gpus = cores+s.Cores, gpus+s.Gpus
+		}
+	}
+	for _, r := range k.w.Catalog.Rigs {
+		if r.Sku == k.Rig {
+			return cores <= r.Cores && gpus <= r.Gpus
+		}
+	}
+	return false
+}
+
+// end ends a task. k.mu is held.
+func (k *Worker) end(key legKey, l *leg, why wire.Cause) {
+	if l.on {
+		l.on = false
+		k.w.End(key.name, k.Host, why == wire.CauseDone)
+	}
+	l.status, l.cause = wire.LegEnded, why
+	k.changed()
+}
+
+// mind ends the session if its lease has ended. k.mu is held.
+func (k *Worker) mind(now time.Time) {
+	if now.Sub(k.answered) <= k.w.Cfg.Lease() {
+		return
+	}
+	off := k.killAll()
+	k.shift++
+	k.answered = now
+	for _, name := range off {
+		k.w.End(name, k.Host, false)
+	}
+	k.changed()
+}
+
+// work runs the tasks and minds the lease.
+func (k *Worker) work() {
+	for k.pause(100 * time.Millisecond) {
+		k.mu.Lock()
+		now := time.Now()
+		if now.Before(k.hungTill) {
+			k.mu.Unlock()
+			continue
+		}
+		k.mind(now)
+		for key, l := range k.legs {
+			if l.status == wire.LegEnded || now.Before(l.due) || l.due.IsZero() {
+				continue
+			}
+			uid, _, _ := wire.SplitLeg(key.name)
+			s := k.spec(uid)
+			switch l.status {
+			case wire.LegFetching:
+				l.status, l.on, l.due = wire.LegRunning, true, time.Time{}
+				k.w.Start(key.name, k.Host, k.Rig, k.Yard, k.Standby)
+				if now.Before(k.sickTill) {
+					k.end(key, l, wire.CauseError)
+				} else if s.Shape == wire.Sweep {
+					l.due = now.Add(time.Duration(s.ExpectS * float64(time.Second)))
+				}
+				k.changed()
+			case wire.LegRunning:
+				k.end(key, l, wire.CauseDone)
+			case wire.LegSaving:
+				l.kept = true
+				k.end(key, l, wire.CauseStopped)
+			}
+		}
+		k.mu.Unlock()
+	}
+}
+
+// serve answers direct commands.
+func (k *Worker) serve(rw http.ResponseWriter, r *http.Request) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if r.URL.Path == "/show" {
+		reply(rw, http.StatusOK, json.RawMessage(k.body()))
+		return
+	}
+	var d wire.Direct
+	if json.NewDecoder(r.Body).Decode(&d) != nil || d.Baton == 0 || d.Shift == 0 {
+		reply(rw, http.StatusBadRequest, wire.Fault{Error: "malformed"})
+		return
+	}
+	if d.Baton < k.baton || d.Shift != k.shift || k.dead {
+		reply(rw, http.StatusConflict, json.RawMessage(k.body()))
+		return
+	}
+	if d.Baton > k.baton {
+		k.baton = d.Baton
+		k.changed()
+	}
+	k.execute(d.Orders)
+	reply(rw, http.StatusOK, json.RawMessage(k.body()))
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,455 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/config"
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// World is what a day consists of beside the controllers, and the judge of the
+// rules.
+type World struct {
+	Cfg     *config.Config
+	Net     *Network
+	State   *State
+	Catalog wire.Catalog
+	Nodes   []string // names of the controllers
+
+	mu       sync.Mutex
+	begun    time.Time
+	workers  map[string]*Worker
+	bookings map[string][]string
+	serial   int
+	specs    map[string]wire.Work
+	done     map[string]map[int]bool
+	on       map[string]map[string]bool // task: the machines it is on
+	aborted  map[string]time.Time       // when a user was told
+	broken   []string
+	started  int
+	Capacity int
+}
+
+// NewWorld makes a world for a deployment.
+func NewWorld(cfg *config.Config, nw *Network, nodes []string, cat wire.Catalog) *World {
+	w := &World{Cfg: cfg, Net: nw, State: NewState(), Catalog: cat, Nodes: nodes, begun: time.Now(), workers: map[string]*Worker{},
+		bookings: map[string][]string{}, specs: map[string]wire.Work{}, done: map[string]map[int]bool{},
+		on: map[string]map[string]bool{}, aborted: map[string]time.Time{}, Capacity: 12}
+	w.State.Judge = w.judgeCommit
+	nw.Attach(cfg.Services.State, w.State, nil)
+	nw.Attach(cfg.Services.Cloud, http.HandlerFunc(w.cloud), nil)
+	return w
+}
+
+// Broken lists the rules that were broken.
+func (w *World) Broken() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string{}, w.broken...)
+}
+
+// Started counts the starts.
+func (w *World) Started() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.started
+}
+
+// breach notes a broken rule. w.mu is held.
+func (w *World) breach(rule, format string, args ...any) {
+	w.broken = append(w.broken, fmt.Sprintf("%s at %.1f s: %s", rule, time.Since(w.begun).Seconds(), fmt.Sprintf(format, args...)))
+}
+
+// judgeCommit checks what every commit of a leader must be guarded by.
+func (w *World) judgeCommit(tx wire.Commit) {
+	guarded := map[string]uint64{}
+	for _, g := range tx.Guards {
+		guarded[g.Key] = g.Stamp
+	}
+	for _, c := range tx.Apply {
+		key := c.Set + c.Drop
+		_, own := guarded[key]
+		switch {
+		case strings.HasPrefix(key, ledger.PiecePrefix) && (guarded[ledger.LeaderKey] == 0 || !own),
+			strings.HasPrefix(key, ledger.HostPrefix) && guarded[ledger.LeaderKey] == 0,
+			strings.HasPrefix(key, ledger.JobPrefix) && !own:
+			w.rule("unguarded", "%s is written with guards %v", key, tx.Guards)
+		}
+	}
+}
+
+// judgeLaunch checks that a launch was recorded before it was sent.
+func (w *World) judgeLaunch(name string, try uint64, host string) {
+	uid, n, _ := wire.SplitLeg(name)
+	for _, key := range w.State.Keys(ledger.PiecePrefix + uid + "/") {
+		item, _ := w.State.Get(key)
+		var rec ledger.Piece
+		if err := json.Unmarshal(item.Value, &rec); err != nil {
+			panic(err)
+		}
+		for _, p := range rec.Live {
+			if p.Leg == n && p.Try == try && p.Host == host {
+				return
+			}
+		}
+	}
+	w.rule("unrecorded", "%s try %d is launched on %s without a record", name, try, host)
+}
+
+// Start is called when a task has its image and begins to run on a machine.
+func (w *World) Start(leg, host, rig, yard string, standby bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.started++
+	uid, _, _ := wire.SplitLeg(leg)
+	s, ok := w.specs[uid]
+	if !ok {
+		w.breach("invented", "%s starts, but nobody submitted it", leg)
+		return
+	}
+	if w.on[leg] == nil {
+		w.on[leg] = map[string]bool{}
+	}
+	if len(w.on[leg]) > 0 {
+		w.breach("ran_twice", "%s starts on %s and is on %v", leg, host, w.on[leg])
+	}
+	w.on[leg][host] = true
+	if at, ok := w.aborted[uid]; ok && time.Since(at).Seconds() > w.Cfg.Cluster.Workers.CancelS {
+		w.breach("ran_cancelled", "%s starts on %s", leg, host)
+	}
+	if len(s.Rigs) > 0 && !strings.Contains(strings.Join(s.Rigs, " "), rig) || s.Yard != "" && s.Yard != yard || standby && !s.Standby {
+		w.breach("wrong_place", "%s starts on %s (%s, %s, standby %v)", leg, host, rig, yard, standby)
+	}
+	yards := map[string]int{}
+	var cores, gpus float64
+	for other, hosts := range w.on {
+		ouid, _, _ := wire.SplitLeg(other)
+		if ouid == uid {
+			for h := range hosts {
+				yards[w.workers[h].Yard]++
+			}
+		}
+		if w.specs[ouid].Crew == s.Crew {
+			cores += w.specs[ouid].Cores * float64(len(hosts))
+			gpus += w.specs[ouid].Gpus * float64(len(hosts))
+		}
+	}
+	if s.Together && len(yards) > 1 || s.Scatter && yards[yard] > (s.Legs+1)/2 {
+		w.breach("wrong_place", "%s starts on %s: zones %v", leg, host, yards)
+	}
+	if t, ok := w.Cfg.Team(s.Crew); ok && (t.CpusMax > 0 && cores > t.CpusMax || t.GpusMax > 0 && gpus > t.GpusMax) {
+		w.breach("quota", "%s uses %v cores and %v gpus", s.Crew, cores, gpus)
+	}
+}
+
+// End is called when a task leaves a machine; completed if it ran to its end.
+func (w *World) End(leg, host string, completed bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.on[leg], host)
+	if len(w.on[leg]) == 0 {
+		delete(w.on, leg)
+	}
+	if completed {
+		uid, n, _ := wire.SplitLeg(leg)
+		if w.done[uid] == nil {
+			w.done[uid] = map[int]bool{}
+		}
+		w.done[uid][n] = true
+	}
+}
+
+// sweepCancelled looks for tasks that outlive their cancellation.
+func (w *World) sweepCancelled() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for leg, hosts := range w.on {
+		uid, _, _ := wire.SplitLeg(leg)
+		if at, ok := w.aborted[uid]; ok && time.Since(at).Seconds() > w.Cfg.Cluster.Workers.CancelS {
+			w.breach("ran_cancelled", "%s is on %v", leg, hosts)
+			delete(w.aborted, uid)
+		}
+	}
+}
+
+// cloud answers the protocol of the cloud.
+func (w *World) cloud(rw http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/catalog":
+		reply(rw, http.StatusOK, w.Catalog)
+	case r.URL.Path == "/machines" && r.Method == http.MethodPost:
+		var q wire.RentRequest
+		if json.NewDecoder(r.Body).Decode(&q) != nil {
+			reply(rw, http.StatusBadRequest, wire.Fault{Error: "malformed"})
+			return
+		}
+		w.rent(rw, q)
+	case r.URL.Path == "/machines/return":
+		var q wire.HostNames
+		if json.NewDecoder(r.Body).Decode(&q) != nil || len(q.Hosts) > wire.MaxReturn {
+			reply(rw, http.StatusBadRequest, wire.Fault{Error: "malformed"})
+			return
+		}
+		for _, h := range q.Hosts {
+			w.mu.Lock()
+			wk := w.workers[h]
+			w.mu.Unlock()
+			if wk != nil {
+				wk.Die()
+			}
+		}
+		reply(rw, http.StatusOK, struct{}{})
+	case r.URL.Path == "/machines":
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		out := wire.HostList{Hosts: []wire.ListedHost{}}
+		lag := w.Cfg.ListLag()
+		for _, wk := range w.workers {
+			age := time.Since(wk.born)
+			if age < lag || wk.gone() > lag {
+				continue
+			}
+			status := wire.HostRunning
+			if age < wk.boot {
+				status = wire.HostBooting
+			}
+			out.Hosts = append(out.Hosts, wire.ListedHost{Uid: wk.Host, Address: wk.Host, Rig: wk.Rig, Yard: wk.Yard, Standby: wk.Standby, Status: status, AgeS: age.Seconds()})
+		}
+		sort.Slice(out.Hosts, func(i, j int) bool { return out.Hosts[i].Uid < out.Hosts[j].Uid })
+		after := r.URL.Query().Get("After")
+		for len(out.Hosts) > 0 && out.Hosts[0].Uid <= after {
+			out.Hosts = out.Hosts[1:]
+		}
+		reply(rw, http.StatusOK, out)
+	}
+}
+
+func (w *World) rent(rw http.ResponseWriter, q wire.RentRequest) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if names, ok := w.bookings[q.Booking]; ok {
+		reply(rw, http.StatusOK, wire.HostNames{Hosts: names})
+		return
+	}
+	up := 0
+	for _, wk := range w.workers {
+		if wk.gone() < 0 {
+			up++
+		}
+	}
+	n := min(q.HowMany, w.Capacity-up)
+	if n <= 0 {
+		reply(rw, http.StatusServiceUnavailable, wire.Fault{Error: "no capacity"})
+		return
+	}
+	var names []string
+	for range n {
+		boot := 5 + w.Net.Chance(15)
+		names = append(names, w.add(q.Rig, q.Yard, q.Standby, time.Duration(boot)*time.Second))
+	}
+	w.bookings[q.Booking] = names
+	reply(rw, http.StatusOK, wire.HostNames{Hosts: names})
+}
+
+// add makes a machine. w.mu is held.
+func (w *World) add(rig, yard string, standby bool, boot time.Duration) string {
+	host := fmt.Sprintf("m-%06d", w.serial)
+	w.serial++
+	wk := newWorker(w, host, rig, yard, standby, boot)
+	w.workers[host] = wk
+	w.Net.Attach(host, http.HandlerFunc(wk.serve), nil)
+	go wk.run()
+	return host
+}
+
+// AddMachines makes machines that are up at once.
+func (w *World) AddMachines(rig, yard string, n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for range n {
+		w.add(rig, yard, false, 0)
+	}
+}
+
+// Worker picks a machine that is up, by chance.
+func (w *World) Worker() *Worker {
+	w.mu.Lock()
+	var up []*Worker
+	for _, wk := range w.workers {
+		if wk.gone() < 0 {
+			up = append(up, wk)
+		}
+	}
+	w.mu.Unlock()
+	if len(up) == 0 {
+		return nil
+	}
+	sort.Slice(up, func(i, j int) bool { return up[i].Host < up[j].Host })
+	return up[w.Net.Chance(len(up))]
+}
+
+// YardOf is the zone of a machine.
+func (w *World) YardOf(host string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if wk := w.workers[host]; wk != nil {
+		return wk.Yard
+	}
+	return ""
+}
+
+// StopAll ends all machines, at the end of a day.
+func (w *World) StopAll() {
+	w.mu.Lock()
+	var all []*Worker
+	for _, wk := range w.workers {
+		all = append(all, wk)
+	}
+	w.mu.Unlock()
+	for _, wk := range all {
+		wk.Die()
+	}
+}
+
+// Ask sends a request as a user to a controller.
+func (w *World) Ask(node, method, path string, body any) (int, wire.JobView) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	client := http.Client{Transport: w.Net.Port("user"), Timeout: 5 * time.Second}
+	req, err := http.NewRequest(method, "http://"+node+path, bytes.NewReader(data))
+	if err != nil {
+		panic(err)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, wire.JobView{}
+	}
+	defer resp.Body.Close()
+	var v wire.JobView
+	if resp.StatusCode < 300 {
+		if err := json.NewDecoder(resp.Body).Decode(&v); err != nil {
+			panic(err)
+		}
+	}
+	return resp.StatusCode, v
+}
+
+// User submits a job, polls it and, if it stands, withdraws it after stay. It
+// checks what it is told and returns when the job is over, or at the deadline.
+func (w *World) User(spec wire.Work, stay time.Duration, deadline time.Time) {
+	w.mu.Lock()
+	w.specs[spec.Uid] = spec
+	w.mu.Unlock()
+	node := func() string { return w.Nodes[w.Net.Chance(len(w.Nodes))] }
+	accepted := false
+	for !accepted {
+		if time.Now().After(deadline) {
+			return
+		}
+		status, _ := w.Ask(node(), http.MethodPost, "/work", spec)
+		accepted = status == http.StatusCreated || status == http.StatusOK
+		if status == http.StatusBadRequest || status == http.StatusUnprocessableEntity {
+			w.rule("forgotten", "%s is answered %d", spec.Uid, status)
+			return
+		}
+		if !accepted {
+			time.Sleep(time.Second)
+		}
+	}
+	final, told := wire.JobStatus(""), 0
+	leaveAt := time.Now().Add(stay)
+	for {
+		if time.Now().After(deadline) {
+			if final == "" {
+				w.rule("forgotten", "%s was not over in time", spec.Uid)
+			}
+			return
+		}
+		status, v := w.Ask(node(), http.MethodGet, "/work/"+spec.Uid, nil)
+		switch {
+		case status == http.StatusNotFound:
+			w.rule("forgotten", "%s gets 404", spec.Uid)
+		case status != http.StatusOK:
+		case final != "" && v.Status != final:
+			w.rule("went_back", "%s was %s, is %s", spec.Uid, final, v.Status)
+		case v.Status == wire.JobDone && !w.allDone(spec):
+			w.rule("not_done", "%s is told done", spec.Uid)
+		case v.Status == wire.JobAborted && final == "":
+			w.rule("went_back", "%s is told cancelled, but nobody cancelled it", spec.Uid)
+		case v.Status.Final():
+			final = v.Status
+		}
+		if final != "" {
+			if told++; told > 4 {
+				return
+			}
+		}
+		if final == "" && stay > 0 && time.Now().After(leaveAt) {
+			status, v := w.Ask(node(), http.MethodPost, "/work/"+spec.Uid+"/withdraw", nil)
+			if status == http.StatusOK {
+				final = v.Status
+				if final == wire.JobAborted {
+					w.mu.Lock()
+					w.aborted[spec.Uid] = time.Now()
+					w.mu.Unlock()
+				}
+				continue
+			}
+			if status == http.StatusNotFound {
+				w.rule("forgotten", "%s gets 404 when withdrawn", spec.Uid)
+			}
+			// It may have been carried out all the same.
+			time.Sleep(time.Second)
+			final = w.withdrawn(spec, node, deadline)
+			continue
+		}
+		time.Sleep(3 * time.Second)
+	}
+}
+
+// withdrawn repeats a withdrawal until it is answered.
+func (w *World) withdrawn(spec wire.Work, node func() string, deadline time.Time) wire.JobStatus {
+	for time.Now().Before(deadline) {
+		status, v := w.Ask(node(), http.MethodPost, "/work/"+spec.Uid+"/withdraw", nil)
+		if status == http.StatusOK {
+			if v.Status == wire.JobAborted {
+				w.mu.Lock()
+				w.aborted[spec.Uid] = time.Now()
+				w.mu.Unlock()
+			}
+			return v.Status
+		}
+		time.Sleep(time.Second)
+	}
+	return ""
+}
+
+func (w *World) rule(rule, format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.breach(rule, format, args...)
+}
+
+func (w *World) allDone(s wire.Work) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.done[s.Uid]) == s.Legs
+}
+
+// Watch looks for tasks that outlive their cancellation until the deadline.
+func (w *World) Watch(deadline time.Time) {
+	for time.Now().Before(deadline) {
+		time.Sleep(500 * time.Millisecond)
+		w.sweepCancelled()
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -49,20 +48,16 @@
 	epoch   time.Time
 }
 
-// New makes a client. Nodes share the limits: each takes at most the share of
-// rps and write_rps that is given.
-func New(addr string, rps, writeRps float64, timeout time.Duration) *Client {
-	d := &net.Dialer{Timeout: timeout}
+// New makes a client that speaks over rt. Nodes share the limits: each takes at
+// most the share of rps and write_rps that is given.
+func New(addr string, rps, writeRps float64, timeout time.Duration, rt http.RoundTripper) *Client {
 	return &Client{
 		base:    "http://" + addr,
 		timeout: timeout,
-		http: &http.Client{Transport: &http.Transport{
-			DialContext: d.DialContext, MaxIdleConnsPerHost: 8, MaxConnsPerHost: 24,
-			IdleConnTimeout: 30 * time.Second, DisableCompression: true,
-		}},
-		reqs:   rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
-		writes: rate.NewLimiter(rate.Limit(writeRps), max(1, int(writeRps))),
-		epoch:  time.Now(),
+		http:    &http.Client{Transport: rt},
+		reqs:    rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
+		writes:  rate.NewLimiter(rate.Limit(writeRps), max(1, int(writeRps))),
+		epoch:   time.Now(),
 	}
 }
 
