--- a/internal/api/http.go
+++ b/internal/api/http.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -22,7 +23,9 @@
 )
 
 // Handler answers users, workers and health checks.
-func (n *Node) Handler() http.Handler {
+func (n *Node) Handler() http.Handler { return n.echo }
+
+func (n *Node) routes() *echo.Echo {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.HTTPErrorHandler = func(err error, c echo.Context) {
@@ -44,9 +47,9 @@
 		}
 	}
 	e.POST("/checkin", n.checkIn)
-	e.POST("/work", n.submit)
-	e.GET("/work/:id", n.poll)
-	e.POST("/work/:id/withdraw", n.withdraw)
+	e.POST("/work", n.user(n.submit))
+	e.GET("/work/:id", n.user(n.poll))
+	e.POST("/work/:id/withdraw", n.user(n.withdraw))
 	e.GET("/ready", n.ready)
 	return e
 }
@@ -69,7 +72,89 @@
 	return err
 }
 
+// errElsewhere means that this node cannot serve a request now, but another
+// one may.
+var errElsewhere = errors.New("the state service is not reached from here")
+
+// user wraps what answers a user: if this node has lost the state service and
+// a peer has not, the request is passed on to the peer.
+func (n *Node) user(h echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		body, err := readBody(c)
+		if err != nil {
+			return err
+		}
+		c.Set("body", body)
+		if n.serving() || !n.elsewhere() {
+			if err := h(c); !errors.Is(err, errElsewhere) {
+				return err
+			}
+		}
+		if c.Get("passed") == nil {
+			req := c.Request()
+			for _, p := range n.peers {
+				if r, ok := p.Last(n.cfg.HoldTTL()); !ok || !r.Serving {
+					continue
+				}
+				r, err := p.User(peer.UserArgs{Method: req.Method, Path: req.URL.Path, Body: body}, pollWait*2/3)
+				if err == nil && r.Status != 0 {
+					if r.RetryAfter != "" {
+						c.Response().Header().Set(echo.HeaderRetryAfter, r.RetryAfter)
+					}
+					return c.JSONBlob(r.Status, r.Body)
+				}
+			}
+		}
+		return retryLater(c, errElsewhere.Error())
+	}
+}
+
+// elsewhere reports whether a peer reaches the state service.
+func (n *Node) elsewhere() bool {
+	for _, p := range n.peers {
+		if r, ok := p.Last(n.cfg.HoldTTL()); ok && r.Serving {
+			return true
+		}
+	}
+	return false
+}
+
+// User answers a user's request that a peer passes on.
+func (n *Node) User(a peer.UserArgs) peer.UserReply {
+	w := &answer{header: http.Header{}}
+	req, err := http.NewRequest(a.Method, a.Path, bytes.NewReader(a.Body))
+	if err != nil {
+		return peer.UserReply{}
+	}
+	c := n.echo.NewContext(req, w)
+	n.echo.Router().Find(a.Method, a.Path, c)
+	c.Set("passed", true)
+	if err := c.Handler()(c); err != nil {
+		n.echo.HTTPErrorHandler(err, c)
+	}
+	return peer.UserReply{Status: w.status, RetryAfter: w.header.Get(echo.HeaderRetryAfter), Body: w.body.Bytes()}
+}
+
+// answer keeps an answer that goes back to a peer.
+type answer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header is the answer's header.
+func (a *answer) Header() http.Header { return a.header }
+
+// WriteHeader notes the status.
+func (a *answer) WriteHeader(status int) { a.status = status }
+
+// Write keeps a part of the body.
+func (a *answer) Write(p []byte) (int, error) { return a.body.Write(p) }
+
 func readBody(c echo.Context) ([]byte, error) {
+	if body, ok := c.Get("body").([]byte); ok {
+		return body, nil
+	}
 	data, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, wire.MaxBody))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -93,12 +178,8 @@
 	if !n.mirror.Synced() || n.cat.Load() == nil {
 		return retryLater(c, "still catching up")
 	}
-	if !n.serving() {
-		for _, p := range n.peers {
-			if r, ok := p.Last(n.cfg.HoldTTL()); ok && r.Serving {
-				return retryLater(c, "the state service is not reached from here")
-			}
-		}
+	if n.store.ProofAge() > n.cfg.HoldTTL()*3/2 && n.elsewhere() {
+		return retryLater(c, errElsewhere.Error())
 	}
 	return c.NoContent(http.StatusOK)
 }
@@ -109,8 +190,8 @@
 }
 
 const (
-	submitWait = 4 * time.Second         // users wait 5 s for an answer to a submission
-	pollWait   = 1700 * time.Millisecond // and 2 s for one to a poll
+	submitWait = 2500 * time.Millisecond // users wait 5 s for an answer to a submission
+	pollWait   = 1200 * time.Millisecond // and 2 s for one to a poll; a peer may still be asked
 )
 
 func (n *Node) submit(c echo.Context) error {
@@ -134,7 +215,7 @@
 		view, known, err := n.lookup(ctx, w.Uid)
 		switch {
 		case err != nil:
-			return retryLater(c, "cannot decide yet")
+			return errElsewhere
 		case known:
 			return c.JSON(http.StatusOK, view)
 		case cat == nil:
@@ -154,14 +235,17 @@
 	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
 		view, known, err := n.lookup(ctx, w.Uid)
-		if err != nil || !known {
+		if err != nil {
+			return errElsewhere
+		}
+		if !known {
 			return retryLater(c, "cannot decide yet")
 		}
 		return c.JSON(http.StatusOK, view)
 	}
 	if err != nil {
 		slog.Info("submission not recorded", "uid", w.Uid, "err", err)
-		return retryLater(c, "cannot be recorded now")
+		return errElsewhere
 	}
 	return c.JSON(http.StatusCreated, wire.JobView{Uid: w.Uid, Status: wire.JobQueued})
 }
@@ -249,7 +333,7 @@
 	view, known, err := n.lookup(ctx, uid)
 	switch {
 	case err != nil:
-		return retryLater(c, "cannot be read now")
+		return errElsewhere
 	case !known:
 		return echo.NewHTTPError(http.StatusNotFound, "no such job")
 	}
@@ -269,12 +353,12 @@
 		}
 		item, found, err := n.store.Get(ctx, ledger.JobKey(uid))
 		if err != nil {
-			return retryLater(c, "cannot be read now")
+			return errElsewhere
 		}
 		if !found {
 			view, known, err := n.lookup(ctx, uid)
 			if err != nil {
-				return retryLater(c, "cannot be read now")
+				return errElsewhere
 			}
 			if !known {
 				return echo.NewHTTPError(http.StatusNotFound, "no such job")
@@ -304,7 +388,7 @@
 		case errors.As(err, &conflict):
 		default:
 			slog.Info("withdrawal not recorded", "uid", uid, "err", err)
-			return retryLater(c, "cannot be recorded now")
+			return errElsewhere
 		}
 	}
 	return retryLater(c, "cannot be decided now")
--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/labstack/echo/v4"
+
 	"lotusstile.dev/lotusstile/internal/cloud"
 	"lotusstile.dev/lotusstile/internal/config"
 	"lotusstile.dev/lotusstile/internal/controller"
@@ -33,6 +35,7 @@
 	elector *election.Elector
 	peers   []*peer.Peer
 	workers *http.Client
+	echo    *echo.Echo
 
 	lead     atomic.Pointer[controller.Controller]
 	cat      atomic.Pointer[wire.Catalog]
@@ -89,6 +92,7 @@
 	}
 	n.finals.known = map[string]wire.JobStatus{}
 	n.settings.Store(&stampedSettings{Settings: ledger.DefaultSettings(cfg.Cluster.Workers.ReportS)})
+	n.echo = n.routes()
 	n.elector = election.New(n.store, cfg.Label, cfg.HoldTTL(), n.leadTerm)
 	return n
 }
@@ -128,6 +132,8 @@
 	go ledger.Follow(ctx, n.store, ledger.SettingsPrefix, 3*hold, pause, n.resetSettings, n.changeSettings)
 	go n.elector.Run(ctx)
 	go n.readCatalog(ctx)
+	go n.heartbeat(ctx)
+	go n.publishKept(ctx)
 	for _, p := range n.peers {
 		go n.ping(ctx, p)
 	}
@@ -232,8 +238,40 @@
 	return nil
 }
 
-// serving reports whether this node has read the state service lately.
-func (n *Node) serving() bool { return n.store.ProofAge() < n.cfg.HoldTTL()*3/2 }
+// serving reports whether this node has read the state service lately. The
+// heartbeat reads it often enough that an idle node is not taken for cut off.
+func (n *Node) serving() bool { return n.store.ProofAge() < n.cfg.HoldTTL()/2 }
+
+// heartbeat reads the state service if nothing else has lately.
+func (n *Node) heartbeat(ctx context.Context) {
+	every := n.cfg.HoldTTL() / 8
+	for ctx.Err() == nil {
+		if n.store.ProofAge() > every {
+			rctx, cancel := context.WithTimeout(store.Urgent(ctx), 2*every)
+			if _, _, err := n.store.Get(rctx, ledger.TermKey); err != nil {
+				slog.Debug("state service not reached", "err", err)
+			}
+			cancel()
+		}
+		time.Sleep(every)
+	}
+}
+
+// publishKept writes which machines this node answers while it cannot reach
+// the leader, where the leader can read it.
+func (n *Node) publishKept(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(n.cfg.Lease() / 5)
+		ids := n.keptLately()
+		if len(ids) == 0 || n.lead.Load() != nil || n.leader() != nil || !n.serving() {
+			continue
+		}
+		_, err := n.store.Commit(ctx, wire.Commit{Apply: []wire.Change{{Set: ledger.KeptPrefix + n.cfg.Label, Value: ledger.Encode(ledger.Kept{Hosts: ids})}}})
+		if err != nil {
+			slog.Debug("kept machines not published", "err", err)
+		}
+	}
+}
 
 func (n *Node) keptLately() []string {
 	n.mu.Lock()
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -22,8 +22,8 @@
 
 // Store is what a controller needs of the state service.
 type Store interface {
+	ledger.Reader
 	Get(ctx context.Context, key string) (wire.Item, bool, error)
-	List(ctx context.Context, under string) ([]wire.Item, uint64, error)
 	Commit(ctx context.Context, tx wire.Commit) (uint64, error)
 }
 
@@ -132,7 +132,7 @@
 		}
 	}
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){c.writer, c.rounds, c.lists, c.returning, c.announcing, c.noteImages} {
+	for _, f := range []func(context.Context){c.writer, c.rounds, c.lists, c.returning, c.announcing, c.noteImages, c.hearKept} {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -169,6 +170,31 @@
 	}
 }
 
+// hearKept listens to followers that are cut off from this node, but not from
+// the state service: the machines that they answer are alive. Without this,
+// every machine behind a cut between zones was returned with all it served.
+func (c *Controller) hearKept(ctx context.Context) {
+	hold, pause := c.Config.Lease(), c.Config.ReportEvery()
+	ledger.Follow(ctx, c.Store, ledger.KeptPrefix, hold, pause, func([]wire.Item, uint64) {}, func(n wire.News) {
+		var kept ledger.Kept
+		if n.Set == "" {
+			return
+		}
+		if err := json.Unmarshal(n.Value, &kept); err != nil {
+			slog.Warn("kept machines cannot be read", "key", n.Set, "err", err)
+			return
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		now := c.now()
+		for _, id := range kept.Hosts {
+			if m := c.fleet.Get(id); m != nil {
+				m.Heard = now
+			}
+		}
+	})
+}
+
 // condemn decides which machines to return because they are lost.
 func (c *Controller) condemn(now time.Time) {
 	// Many machines of a zone that fall silent together are cut off rather
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -8,6 +8,7 @@
 //	f/<uid>       the final status of an archived job, kept for ever
 //	h/<host>      a machine whose return has been attempted
 //	i/<host>      the images a machine has, as far as was seen
+//	k/<node>      machines whose leases a node keeps, cut off from the leader
 //	o/settings    the operators' own settings
 package ledger
 
@@ -30,6 +31,7 @@
 	FinalPrefix    = "f/"
 	HostPrefix     = "h/"
 	ImagesPrefix   = "i/"
+	KeptPrefix     = "k/"
 	SettingsPrefix = "o/"
 	SettingsKey    = "o/settings"
 )
@@ -55,6 +57,10 @@
 // Images lists images that were seen on a machine. It only guides placement.
 type Images struct{ Names []string }
 
+// Kept lists machines that a node answers in the place of a leader that it
+// cannot reach. The state service carries the word where the mesh does not.
+type Kept struct{ Hosts []string }
+
 // Placed is an attempt that was decided and is not yet recorded as ended.
 type Placed struct {
 	Leg   int    `json:"L"`
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -45,8 +45,22 @@
 	Body   []byte
 }
 
+// UserArgs passes on a user's request that the caller cannot serve.
+type UserArgs struct {
+	Method, Path string
+	Body         []byte
+}
+
+// UserReply is the answer to it.
+type UserReply struct {
+	Status     int
+	RetryAfter string
+	Body       []byte
+}
+
 // Handler answers peers.
 type Handler interface {
+	User(a UserArgs) UserReply
 	Ping(a PingArgs) PingReply
 	Counts(a CountsArgs) CountsReply
 	RelayCheckIn(a CheckInArgs) CheckInReply
@@ -64,6 +78,9 @@
 // CheckIn answers a relayed report.
 func (n *Node) CheckIn(a CheckInArgs, r *CheckInReply) error { *r = n.h.RelayCheckIn(a); return nil }
 
+// User answers a user's request that a peer passes on.
+func (n *Node) User(a UserArgs, r *UserReply) error { *r = n.h.User(a); return nil }
+
 // NewServer makes the server that answers peers.
 func NewServer(h Handler) (*rpc.Server, error) {
 	srv := rpc.NewServer()
@@ -117,7 +134,7 @@
 	return ps
 }
 
-func (p *Peer) call(method string, args, reply any) error {
+func (p *Peer) call(method string, args, reply any, timeout time.Duration) error {
 	p.mu.Lock()
 	client := p.client
 	p.mu.Unlock()
@@ -137,7 +154,7 @@
 		p.mu.Unlock()
 	}
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
-	timer := time.NewTimer(p.timeout)
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	var err error
 	select {
@@ -171,7 +188,7 @@
 func (p *Peer) Ping(a PingArgs) (PingReply, error) {
 	begun := time.Now()
 	var r PingReply
-	if err := p.call("Node.Ping", a, &r); err != nil {
+	if err := p.call("Node.Ping", a, &r, p.timeout); err != nil {
 		return r, err
 	}
 	p.mu.Lock()
@@ -190,13 +207,20 @@
 // Counts asks for a job's counts.
 func (p *Peer) Counts(uid string) (CountsReply, error) {
 	var r CountsReply
-	err := p.call("Node.Counts", CountsArgs{uid}, &r)
+	err := p.call("Node.Counts", CountsArgs{uid}, &r, p.timeout)
 	return r, err
 }
 
 // CheckIn relays a report.
 func (p *Peer) CheckIn(body []byte) (CheckInReply, error) {
 	var r CheckInReply
-	err := p.call("Node.CheckIn", CheckInArgs{body}, &r)
+	err := p.call("Node.CheckIn", CheckInArgs{body}, &r, p.timeout)
+	return r, err
+}
+
+// User passes a user's request on.
+func (p *Peer) User(a UserArgs, timeout time.Duration) (UserReply, error) {
+	var r UserReply
+	err := p.call("Node.User", a, &r, timeout)
 	return r, err
 }
