--- /dev/null
+++ b/internal/api/admin.go
@@ -0,0 +1,128 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/labstack/echo/v4"
+
+	"lotusstile.dev/lotusstile/internal/election"
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/store"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// measure sets up the metrics.
+func (n *Node) measure() {
+	n.meters = metrics.NewSet()
+	n.rounds = n.meters.NewHistogram("lotusstile_round_seconds")
+	gauge := func(name string, f func() float64) { n.meters.NewGauge(name, f) }
+	gauge("lotusstile_leading", func() float64 {
+		if n.lead.Load() != nil {
+			return 1
+		}
+		return 0
+	})
+	gauge("lotusstile_term", func() float64 { return float64(n.elector.View().Term) })
+	gauge("lotusstile_state_proof_seconds", func() float64 { return min(n.store.ProofAge(), time.Hour).Seconds() })
+}
+
+func (n *Node) rounded(took time.Duration) { n.rounds.Update(took.Seconds()) }
+
+// count counts an answered request.
+func (n *Node) count(kind string, status int) {
+	n.meters.GetOrCreateCounter(fmt.Sprintf(`lotusstile_requests_total{kind=%q,status="%d"}`, kind, status)).Inc()
+}
+
+// adminMetrics writes the metrics in the Prometheus text format.
+func (n *Node) adminMetrics(c echo.Context) error {
+	var out bytes.Buffer
+	n.meters.WritePrometheus(&out)
+	if l := n.lead.Load(); l != nil {
+		st := l.Status()
+		for state, count := range st.Machines {
+			metrics.WriteGaugeUint64(&out, fmt.Sprintf(`lotusstile_machines{state=%q}`, state), uint64(count))
+		}
+		for class, cl := range st.Classes {
+			metrics.WriteGaugeUint64(&out, fmt.Sprintf(`lotusstile_tasks{class=%q,state="waiting"}`, class), uint64(cl.Waiting))
+			metrics.WriteGaugeUint64(&out, fmt.Sprintf(`lotusstile_tasks{class=%q,state="placed"}`, class), uint64(cl.Placed))
+		}
+		metrics.WriteGaugeUint64(&out, "lotusstile_window", uint64(st.Window))
+	}
+	return c.Blob(http.StatusOK, "text/plain; version=0.0.4", out.Bytes())
+}
+
+// adminStatus tells how this node stands and, if the leader is reached, how
+// the whole service does.
+func (n *Node) adminStatus(c echo.Context) error {
+	v := n.elector.View()
+	st := wire.Status{Node: n.cfg.Label, State: n.elector.State().String(), Leader: v.Leader, Term: v.Term, Proof: min(n.store.ProofAge(), time.Hour).Seconds()}
+	if l := n.lead.Load(); l != nil {
+		lead := l.Status()
+		st.Lead = &lead
+	} else if p := n.leader(); p != nil {
+		if lead, err := p.Lead(); err == nil {
+			st.Lead = lead
+		}
+	}
+	return c.JSON(http.StatusOK, st)
+}
+
+// Lead answers a peer that shows the leader's status.
+func (n *Node) Lead() *wire.LeadStatus {
+	l := n.lead.Load()
+	if l == nil || n.elector.State() == election.Following {
+		return nil
+	}
+	st := l.Status()
+	return &st
+}
+
+func (n *Node) adminSettings(c echo.Context) error {
+	return c.JSON(http.StatusOK, n.settings.Load())
+}
+
+// adminChange changes the operators' settings. Fields that are left out stay
+// as they are; Stamp must be the version that the change was made from.
+func (n *Node) adminChange(c echo.Context) error {
+	body, err := readBody(c)
+	if err != nil {
+		return err
+	}
+	var version struct{ Stamp *uint64 }
+	if err := json.Unmarshal(body, &version); err != nil || version.Stamp == nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "the body must be a JSON object with the Stamp of the settings that it changes")
+	}
+	now := *n.settings.Load()
+	if now.Stamp != *version.Stamp {
+		return c.JSON(http.StatusConflict, now)
+	}
+	next := now
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&next); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	if err := ledger.CheckSettings(next); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	value := ledger.Encode(next)
+	stamp, err := n.store.Commit(c.Request().Context(), wire.Commit{
+		Guards: []wire.Guard{{Key: ledger.SettingsKey, Stamp: now.Stamp}},
+		Apply:  []wire.Change{{Set: ledger.SettingsKey, Value: value}},
+	})
+	var conflict *store.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		return c.JSON(http.StatusConflict, n.settings.Load())
+	case err != nil:
+		return retryLater(c, "cannot be recorded now")
+	}
+	n.takeSettings(ledger.SettingsKey, value, stamp)
+	return c.JSON(http.StatusOK, n.settings.Load())
+}
--- a/internal/api/http.go
+++ b/internal/api/http.go
@@ -51,6 +51,10 @@
 	e.GET("/work/:id", n.user(n.poll))
 	e.POST("/work/:id/withdraw", n.user(n.withdraw))
 	e.GET("/ready", n.ready)
+	e.GET("/admin/status", n.adminStatus)
+	e.GET("/admin/metrics", n.adminMetrics)
+	e.GET("/admin/settings", n.adminSettings)
+	e.PUT("/admin/settings", n.adminChange)
 	return e
 }
 
@@ -80,6 +84,7 @@
 // a peer has not, the request is passed on to the peer.
 func (n *Node) user(h echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
+		defer func() { n.count("user", c.Response().Status) }()
 		body, err := readBody(c)
 		if err != nil {
 			return err
@@ -405,6 +410,7 @@
 	if status == http.StatusServiceUnavailable {
 		c.Response().Header().Set(echo.HeaderRetryAfter, strconv.Itoa(1))
 	}
+	n.count("checkin", status)
 	return c.JSONBlob(status, answer)
 }
 
--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v4"
 
 	"lotusstile.dev/lotusstile/internal/cloud"
@@ -36,10 +37,12 @@
 	peers   []*peer.Peer
 	workers *http.Client
 	echo    *echo.Echo
+	meters  *metrics.Set
+	rounds  *metrics.Histogram
 
 	lead     atomic.Pointer[controller.Controller]
 	cat      atomic.Pointer[wire.Catalog]
-	settings atomic.Pointer[stampedSettings]
+	settings atomic.Pointer[wire.Settings]
 	finals   finals
 
 	mu       sync.Mutex
@@ -47,11 +50,6 @@
 	kept     map[string]time.Time // by machine: when this node kept its lease
 }
 
-type stampedSettings struct {
-	ledger.Settings
-	Stamp uint64
-}
-
 // Network is how a node reaches others.
 type Network struct {
 	State, Cloud, Workers http.RoundTripper
@@ -91,7 +89,9 @@
 		workers:  &http.Client{Timeout: cfg.ReportEvery(), Transport: nw.Workers},
 	}
 	n.finals.known = map[string]wire.JobStatus{}
-	n.settings.Store(&stampedSettings{Settings: ledger.DefaultSettings(cfg.Cluster.Workers.ReportS)})
+	defaults := ledger.DefaultSettings(cfg.Cluster.Workers.ReportS)
+	n.settings.Store(&defaults)
+	n.measure()
 	n.echo = n.routes()
 	n.elector = election.New(n.store, cfg.Label, cfg.HoldTTL(), n.leadTerm)
 	return n
@@ -147,8 +147,8 @@
 
 func (n *Node) leadTerm(ctx context.Context, term uint64) {
 	c := controller.New(controller.Deps{Config: n.cfg, Store: n.store, Cloud: n.cloud, Worker: n, Mirror: n.mirror,
-		Settings: func() ledger.Settings { return n.settings.Load().Settings },
-		Saw:      func(t uint64) { n.elector.Saw(t, "") }, Heard: n.heard}, term)
+		Settings: func() wire.Settings { return *n.settings.Load() }, Rounded: n.rounded,
+		Saw: func(t uint64) { n.elector.Saw(t, "") }, Heard: n.heard}, term)
 	n.lead.Store(c)
 	defer n.lead.Store(nil)
 	c.Run(ctx)
@@ -166,12 +166,17 @@
 	if key != ledger.SettingsKey || stamp <= n.settings.Load().Stamp {
 		return
 	}
-	s := stampedSettings{Settings: ledger.DefaultSettings(n.cfg.Cluster.Workers.ReportS), Stamp: stamp}
-	if err := json.Unmarshal(value, &s.Settings); err != nil || s.Check() != nil {
+	s := ledger.DefaultSettings(n.cfg.Cluster.Workers.ReportS)
+	if err := json.Unmarshal(value, &s); err != nil {
+		slog.Error("stored settings cannot be read", "err", err)
+		return
+	}
+	if err := ledger.CheckSettings(s); err != nil {
 		slog.Error("stored settings are not valid", "err", err)
 		return
 	}
-	slog.Info("settings in force", "settings", s.Settings, "stamp", stamp)
+	s.Stamp = stamp
+	slog.Info("settings in force", "settings", s)
 	n.settings.Store(&s)
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -49,9 +49,10 @@
 	Cloud    Cloud
 	Worker   Worker
 	Mirror   *ledger.Mirror
-	Settings func() ledger.Settings
-	Saw      func(term uint64) // a newer term was seen
-	Heard    func() []string   // machines that peers answer
+	Settings func() wire.Settings
+	Saw      func(term uint64)   // a newer term was seen
+	Heard    func() []string     // machines that peers answer
+	Rounded  func(time.Duration) // a round took this long
 }
 
 // Controller leads one term.
@@ -79,24 +80,11 @@
 	cutOff  map[string]time.Time // by zone: when most of it was last silent
 	noted   map[string]int       // how many images of a machine are recorded
 	kept    map[string]bool      // machines kept as spare room by the last round
-	last    RoundInfo
+	last    wire.RoundStatus
+	lastAt  time.Time
 	steady  time.Time
 }
 
-// RoundInfo describes the last round.
-type RoundInfo struct {
-	At        time.Time
-	TookMs    float64
-	Window    int
-	Waiting   int
-	Started   int
-	Stopped   int
-	Short     int
-	Objective float64
-	Reserved  string
-	Overrun   bool
-}
-
 // New makes the controller of a term.
 func New(d Deps, term uint64) *Controller {
 	c := &Controller{Deps: d, term: term, wake: make(chan struct{}, 1), news: make(chan struct{}, 1), now: time.Now,
@@ -448,3 +436,22 @@
 	}
 	c.jobEvent(uid, ledger.Entry{Job: &rec, Stamp: item.Stamp})
 }
+
+// Status tells how the leader's work stands.
+func (c *Controller) Status() wire.LeadStatus {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	st := wire.LeadStatus{Term: c.term, Loaded: c.loaded, Window: c.window, Round: c.last, Machines: map[string]int{}, Classes: map[string]wire.ClassStatus{}}
+	if !c.lastAt.IsZero() {
+		st.Round.AgoS = c.now().Sub(c.lastAt).Seconds()
+	}
+	c.fleet.Each(func(m *fleet.Machine) { st.Machines[m.State.String()]++ })
+	for _, j := range c.jobs {
+		cl := st.Classes[j.rec.Spec.Berth]
+		cl.Jobs++
+		cl.Waiting += j.waiting()
+		cl.Placed += j.live
+		st.Classes[j.rec.Spec.Berth] = cl
+	}
+	return st
+}
--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -47,9 +47,11 @@
 	}
 	in, machines, victims := c.input(now, interval)
 	plan := sched.Run(in)
-	info := RoundInfo{At: now, Window: plan.Window, Waiting: len(in.Jobs), Objective: plan.Objective, Reserved: plan.Reserved, Short: len(plan.Shorts)}
+	info := wire.RoundStatus{Waiting: len(in.Jobs), Objective: plan.Objective, Reserved: plan.Reserved, Short: len(plan.Shorts)}
 	took := c.now().Sub(now)
 	info.TookMs = float64(took.Microseconds()) / 1000
+	c.lastAt = now
+	c.Rounded(took)
 	most := c.Settings().Window
 	switch {
 	case took > interval:
--- a/internal/ledger/settings.go
+++ b/internal/ledger/settings.go
@@ -1,24 +1,20 @@
 package ledger
 
-import "errors"
+import (
+	"errors"
 
-// Settings are the operators' own settings. They are kept in the state service
-// and changed through the administration API.
-type Settings struct {
-	IntervalS float64 // seconds from round to round
-	Window    int     // most jobs that a round looks over
-	Spare     float64 // times the usual spare room; 0 keeps none
-}
+	"lotusstile.dev/lotusstile/wire"
+)
 
 // DefaultSettings derives the defaults from the interval of workers' reports.
 // The paper's default interval is 3 s; the fetch of an image takes most of the
 // time that users wait, so a round is a third of a report's interval here.
-func DefaultSettings(reportS float64) Settings {
-	return Settings{IntervalS: reportS / 3, Window: 200, Spare: 1}
+func DefaultSettings(reportS float64) wire.Settings {
+	return wire.Settings{IntervalS: reportS / 3, Window: 200, Spare: 1}
 }
 
-// Check reports what is wrong with settings.
-func (s Settings) Check() error {
+// CheckSettings reports what is wrong with the operators' own settings.
+func CheckSettings(s wire.Settings) error {
 	var faults []error
 	if !(s.IntervalS >= 0.1 && s.IntervalS <= 60) {
 		faults = append(faults, errors.New("IntervalS must be from 0.1 to 60"))
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"lotusstile.dev/lotusstile/internal/config"
+	"lotusstile.dev/lotusstile/wire"
 )
 
 // PingArgs tells a peer about the caller.
@@ -61,6 +62,7 @@
 // Handler answers peers.
 type Handler interface {
 	User(a UserArgs) UserReply
+	Lead() *wire.LeadStatus
 	Ping(a PingArgs) PingReply
 	Counts(a CountsArgs) CountsReply
 	RelayCheckIn(a CheckInArgs) CheckInReply
@@ -81,6 +83,12 @@
 // User answers a user's request that a peer passes on.
 func (n *Node) User(a UserArgs, r *UserReply) error { *r = n.h.User(a); return nil }
 
+// LeadReply is the leader's status, or nothing from a node that does not lead.
+type LeadReply struct{ Lead *wire.LeadStatus }
+
+// Lead answers a question for the leader's status.
+func (n *Node) Lead(_ PingArgs, r *LeadReply) error { r.Lead = n.h.Lead(); return nil }
+
 // NewServer makes the server that answers peers.
 func NewServer(h Handler) (*rpc.Server, error) {
 	srv := rpc.NewServer()
@@ -224,3 +232,10 @@
 	err := p.call("Node.User", a, &r, timeout)
 	return r, err
 }
+
+// Lead asks the leader for its status.
+func (p *Peer) Lead() (*wire.LeadStatus, error) {
+	var r LeadReply
+	err := p.call("Node.Lead", PingArgs{}, &r, p.timeout)
+	return r.Lead, err
+}
--- /dev/null
+++ b/wire/admin.go
@@ -0,0 +1,50 @@
+package wire
+
+// Settings are the operators' own settings, as the administration API shows
+// and takes them. Stamp is their version: 0 until they are first changed.
+type Settings struct {
+	Stamp     uint64
+	IntervalS float64 // seconds from round to round
+	Window    int     // most jobs that a round looks over
+	Spare     float64 // times the usual spare room; 0 keeps none
+}
+
+// Status answers GET /admin/status.
+type Status struct {
+	Node   string
+	State  string // of the leadership, at this node
+	Leader string
+	Term   uint64
+	Proof  float64     // seconds since the state service was last read from here
+	Lead   *LeadStatus `json:",omitempty"` // as the leader tells, if it is reached
+}
+
+// LeadStatus is what only the leader knows.
+type LeadStatus struct {
+	Term     uint64
+	Loaded   bool
+	Window   int
+	Round    RoundStatus
+	Machines map[string]int         // by state
+	Classes  map[string]ClassStatus // by class of jobs
+}
+
+// RoundStatus describes the last round.
+type RoundStatus struct {
+	AgoS      float64
+	TookMs    float64
+	Waiting   int
+	Started   int
+	Stopped   int
+	Short     int
+	Objective float64
+	Reserved  string `json:",omitempty"`
+	Overrun   bool
+}
+
+// ClassStatus counts the work of a class that is not over.
+type ClassStatus struct {
+	Jobs    int
+	Waiting int // tasks without a machine
+	Placed  int // tasks with one
+}
