--- a/internal/api/admin.go
+++ b/internal/api/admin.go
@@ -29,6 +29,7 @@
 		return 0
 	})
 	gauge("lotusstile_term", func() float64 { return float64(n.elector.View().Term) })
+	gauge("lotusstile_lag_seconds", func() float64 { return time.Duration(n.load.lag.Load()).Seconds() })
 	gauge("lotusstile_state_proof_seconds", func() float64 { return min(n.store.ProofAge(), time.Hour).Seconds() })
 }
 
--- a/internal/api/http.go
+++ b/internal/api/http.go
@@ -85,6 +85,10 @@
 func (n *Node) user(h echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		defer func() { n.count("user", c.Response().Status) }()
+		if !n.load.admit() {
+			return retryLater(c, "too much to do")
+		}
+		defer n.load.done()
 		body, err := readBody(c)
 		if err != nil {
 			return err
--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -37,6 +37,7 @@
 	peers   []*peer.Peer
 	workers *http.Client
 	echo    *echo.Echo
+	load    load
 	meters  *metrics.Set
 	rounds  *metrics.Histogram
 
@@ -92,6 +93,7 @@
 	defaults := ledger.DefaultSettings(cfg.Cluster.Workers.ReportS)
 	n.settings.Store(&defaults)
 	n.measure()
+	n.load.limit, n.load.most = cfg.ReportEvery()/2, int64(cfg.Cluster.Limits.MaxConnections/8)
 	n.echo = n.routes()
 	n.elector = election.New(n.store, cfg.Label, cfg.HoldTTL(), n.leadTerm)
 	return n
@@ -133,6 +135,7 @@
 	go n.elector.Run(ctx)
 	go n.readCatalog(ctx)
 	go n.heartbeat(ctx)
+	go n.load.watch(ctx, n.cfg.ReportEvery()/8)
 	go n.publishKept(ctx)
 	for _, p := range n.peers {
 		go n.ping(ctx, p)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -457,8 +457,15 @@
 	j.avoid[m.ID] = now
 	j.fails++
 	if len(j.avoid) >= 2 && len(m.Errors) == 0 {
-		j.hold = now.Add(min(3*lease, time.Second<<min(j.fails-2, 10)))
+		j.hold = now.Add(min(3*lease, time.Second<<max(0, min(j.fails-2, 10))))
 		slog.Info("job fails on several machines", "uid", j.uid, "fails", j.fails)
+		for id := range j.avoid {
+			if o := c.fleet.Get(id); o != nil && o.Errors[j.uid] != (time.Time{}) {
+				if delete(o.Errors, j.uid); len(o.Errors) == 0 {
+					o.SickTill = time.Time{}
+				}
+			}
+		}
 		return
 	}
 	m.Errors[j.uid] = now
--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -84,6 +84,10 @@
 	return c.provision(in, plan, machines, now)
 }
 
+// maxLegs is how many tasks a machine may have: a hundred bytes each is what a
+// report takes for one.
+const maxLegs = wire.MaxBody / 100
+
 // start turns the places of a plan into planned attempts, within the write
 // budget; what overflows waits for a later round.
 func (c *Controller) start(plan *sched.Plan, machines []*fleet.Machine, now time.Time) int {
@@ -102,6 +106,9 @@
 		if budget <= 0 || m == nil {
 			break
 		}
+		if m.LiveCount()+pl.Count > maxLegs {
+			continue // its report would not fit a body
+		}
 		for _, leg := range j.pick(pl.Count) {
 			p := j.piece(leg)
 			if !p.dirty {
@@ -216,8 +223,11 @@
 				return seen || coming[image]
 			}
 			n.Avoid = func(uid string) bool {
-				at, bad := c.jobs[uid].avoid[m.ID]
-				return bad && now.Sub(at) < 6*c.Config.Lease()
+				// A job that failed on several machines is at fault itself. If
+				// it went on avoiding machines, new ones would be rented for it.
+				avoid := c.jobs[uid].avoid
+				at, bad := avoid[m.ID]
+				return bad && len(avoid) < 2 && now.Sub(at) < 6*c.Config.Lease()
 			}
 		case c.comes(m, now):
 			n.Later = m.Free()
--- a/internal/standin/day_test.go
+++ b/internal/standin/day_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -401,3 +402,79 @@
 		d.end()
 	})
 }
+
+// A job that fails everywhere by its own mistake condemns no machine, rents
+// none and keeps nobody from running; its user can still withdraw it.
+func TestMistakenJobHarmsNobody(t *testing.T) {
+	inDay(t, func(d *day) {
+		d.w.Mistaken = "broken"
+		base := wire.Work{Berth: "broken", Crew: "free", Shape: wire.Sweep, Rank: wire.Critical, Legs: 6, Cores: 4, Gpus: 1, RamGb: 20, Rollout: "img", ImageGb: 4, ExpectS: 5}
+		deadline := time.Now().Add(150 * time.Second)
+		var users sync.WaitGroup
+		for i := range 8 {
+			s, stay := base, time.Duration(0)
+			s.Uid = fmt.Sprintf("run-%06d", i)
+			if i == 0 {
+				stay = 100 * time.Second
+			} else {
+				s.Berth, s.Rank, s.Legs = "good", wire.BestEffort, 4
+			}
+			users.Add(1)
+			go func() {
+				defer users.Done()
+				time.Sleep(time.Duration(10*i) * time.Second)
+				d.w.User(s, stay, deadline)
+			}()
+		}
+		users.Wait()
+		if b := d.w.Broken(); len(b) > 0 {
+			t.Errorf("rules broken:\n%s", strings.Join(b, "\n"))
+		}
+		if n := d.w.Rented(); n > 4 {
+			t.Errorf("%d machines were rented", n)
+		}
+		if n := d.w.Started(); n < 28+6 || n > 28+6*12 {
+			t.Errorf("%d starts", n)
+		}
+	})
+}
+
+// The largest array is taken, makes progress and keeps within the limits of
+// the state service, also when the leader changes.
+func TestLargestArray(t *testing.T) {
+	inDay(t, func(d *day) {
+		d.w.Capacity = 4
+		s := wire.Work{Uid: "run-000001", Berth: "large", Crew: "free", Shape: wire.Sweep, Rank: wire.Standard, Legs: wire.MaxLegs,
+			Cores: 0.5, RamGb: 0.1, Rollout: "img", ImageGb: 1, ExpectS: 4, Rigs: []string{"g4", "g8"}}
+		d.w.Upload(s)
+		if status, _ := d.w.Ask("n0", "POST", "/work", s); status != 201 {
+			t.Fatalf("answered %d", status)
+		}
+		other := s
+		other.Uid, other.Legs, other.Rank = "run-000002", 5, wire.High
+		time.Sleep(20 * time.Second)
+		for i := range labels {
+			d.crash(i)
+			time.Sleep(3 * time.Second)
+			d.start(i)
+		}
+		done := time.Now()
+		d.w.User(other, 0, time.Now().Add(time.Minute))
+		if took := time.Since(done); took > 45*time.Second {
+			t.Errorf("a small job of higher rank took %v", took)
+		}
+		time.Sleep(10 * time.Second)
+		var v wire.JobView
+		if err := json.Unmarshal([]byte(d.expect(200, "n1", "GET", "/work/run-000001", "")), &v); err != nil || v.Done < 200 {
+			t.Errorf("%+v, %v", v, err)
+		}
+		if b := d.w.Broken(); len(b) > 0 {
+			t.Errorf("rules broken:\n%s", strings.Join(b[:min(5, len(b))], "\n"))
+		}
+		d.expect(200, "n2", "POST", "/work/run-000001/withdraw", "")
+		time.Sleep(40 * time.Second)
+		if keys := append(d.w.State.Keys("j/"), d.w.State.Keys("p/")...); len(keys) > 0 {
+			t.Errorf("left behind: %d keys", len(keys))
+		}
+	})
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -36,6 +36,7 @@
 	broken   []string
 	started  int
 	Capacity int
+	Mistaken string // class of jobs that fail on every machine
 }
 
 // NewWorld makes a world for a deployment.
@@ -63,6 +64,17 @@
 	return w.started
 }
 
+// Rented counts the machines that were rented.
+func (w *World) Rented() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, names := range w.bookings {
+		n += len(names)
+	}
+	return n
+}
+
 // breach notes a broken rule. w.mu is held.
 func (w *World) breach(rule, format string, args ...any) {
 	w.broken = append(w.broken, fmt.Sprintf("%s at %.1f s: %s", rule, time.Since(w.begun).Seconds(), fmt.Sprintf(format, args...)))
@@ -70,12 +82,19 @@
 
 // judgeCommit checks what every commit of a leader must be guarded by.
 func (w *World) judgeCommit(tx wire.Commit) {
+	limits := w.Cfg.Cluster.State
+	if len(tx.Apply) > limits.TxnOps || len(tx.Guards) > 4*limits.TxnOps {
+		w.rule("limits", "%d changes and %d guards in a commit", len(tx.Apply), len(tx.Guards))
+	}
 	guarded := map[string]uint64{}
 	for _, g := range tx.Guards {
 		guarded[g.Key] = g.Stamp
 	}
 	for _, c := range tx.Apply {
 		key := c.Set + c.Drop
+		if float64(len(c.Value)) > limits.ValueKb*1024 {
+			w.rule("limits", "the value of %s has %d bytes", key, len(c.Value))
+		}
 		_, own := guarded[key]
 		switch {
 		case strings.HasPrefix(key, ledger.PiecePrefix) && (guarded[ledger.LeaderKey] == 0 || !own),
@@ -360,12 +379,17 @@
 	return resp.StatusCode, v
 }
 
+// Upload makes a job's description known to workers.
+func (w *World) Upload(spec wire.Work) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.specs[spec.Uid] = spec
+}
+
 // User submits a job, polls it and, if it stands, withdraws it after stay. It
 // checks what it is told and returns when the job is over, or at the deadline.
 func (w *World) User(spec wire.Work, stay time.Duration, deadline time.Time) {
-	w.mu.Lock()
-	w.specs[spec.Uid] = spec
-	w.mu.Unlock()
+	w.Upload(spec)
 	node := func() string { return w.Nodes[w.Net.Chance(len(w.Nodes))] }
 	accepted := false
 	for !accepted {
