A cut between zones is told from lost machines by who reports here

Now machines that missed their last report count as well when few are quiet, and a zone is cut off by what reports to the leader, not by what is known to live.

--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -200,14 +200,19 @@
 	// Many machines of a zone that fall silent together are cut off rather
 	// than lost: what they run may go on, and they will be back.
 	every, lease := c.Config.ReportEvery(), c.Config.Lease()
-	total, quiet := map[string]int{}, map[string]int{}
+	// What counts is who reports here: machines that a follower answers are behind
+	// the same cut as those that still look for a node.
+	total, quiet, hushed := map[string]int{}, map[string]int{}, map[string]int{}
 	c.fleet.Each(func(m *fleet.Machine) {
 		if m.State == fleet.Returning || m.State == fleet.Gone || m.State == fleet.Booting && m.LiveCount() == 0 {
 			return
 		}
 		total[m.Yard]++
-		if now.Sub(m.Heard) > 3*every {
+		if silent := now.Sub(m.Reported); silent > 3*every {
 			quiet[m.Yard]++
+			hushed[m.Yard]++
+		} else if silent > 2*every {
+			hushed[m.Yard]++
 		}
 	})
 	for yard, n := range quiet {
@@ -221,7 +226,10 @@
 		at, ok := c.cutOff[m.Yard]
 		return ok && now.Sub(at) < lease
 	}
-	few := func(m *fleet.Machine) bool { return !cutOff(m) && quiet[m.Yard] <= max(1, total[m.Yard]/8) }
+	// The first machines behind a cut are quiet for three intervals while the
+	// last ones have just missed a report: counting only the quiet ones, a
+	// leader returned 17 of 90 before it saw that there was a cut.
+	few := func(m *fleet.Machine) bool { return !cutOff(m) && hushed[m.Yard] <= max(1, total[m.Yard]/8) }
 	settled := now.Sub(c.steady) > 2*lease
 	c.fleet.Each(func(m *fleet.Machine) {
 		switch {
--- /dev/null
+++ b/internal/controller/machines_test.go
@@ -0,0 +1,80 @@
+package controller
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/config"
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// watched is a leader with two zones of 90 machines each that report once a
+// second, and a clock that the test moves.
+func watched(now *time.Time) *Controller {
+	cfg := &config.Config{}
+	cfg.Cluster.Workers.ReportS, cfg.Cluster.Workers.LeaseS, cfg.Cluster.Cloud.Rps = 1, 10, 6
+	c := New(Deps{Config: cfg, Mirror: ledger.NewMirror(), Settings: func() wire.Settings { return ledger.DefaultSettings(1) }}, 5)
+	c.now = func() time.Time { return *now }
+	c.loaded, c.steady = true, now.Add(-time.Hour)
+	return c
+}
+
+func (c *Controller) hearFrom(i int, tick uint64, now time.Time) {
+	yard := "a"
+	if i%2 == 1 {
+		yard = "b"
+	}
+	c.fleet.Report(&wire.Report{Host: fmt.Sprintf("m-%03d", i), Yard: yard, Shift: 1, Tick: tick, Baton: 5}, now)
+}
+
+// A cut between zones silences machines one after the other, as their reports
+// come due, and a follower answers some of them soon. None is given up before
+// six leases: counting only those that were quiet for three intervals, and
+// taking those that a follower answers for well, a leader returned 38 of 90.
+// A few that stop while all others report are given up after three intervals.
+func TestWhoIsGivenUp(t *testing.T) {
+	const machines, step = 180, 50 * time.Millisecond
+	for _, tc := range []struct {
+		name   string
+		silent func(i int) bool
+		kept   func(i int) bool // by a follower, from five seconds on
+		after  time.Duration
+		want   int
+	}{
+		{"cut", func(i int) bool { return i%2 == 1 }, func(i int) bool { return i%4 == 1 }, 30 * time.Second, 0},
+		{"few", func(i int) bool { return i < 9 }, func(int) bool { return false }, 4500 * time.Millisecond, 9},
+	} {
+		now := time.Unix(1000, 0)
+		c := watched(&now)
+		began := now
+		for tick := uint64(1); now.Sub(began) < 10*time.Second+tc.after; tick++ {
+			at := now.Sub(began)
+			for i := range machines {
+				due := int64(i)%20 == int64(tick)%20 // each in its turn, once a second
+				switch {
+				case due && (at < 10*time.Second || !tc.silent(i)):
+					c.hearFrom(i, tick, now)
+				case due && at > 15*time.Second && tc.kept(i):
+					c.fleet.Get(fmt.Sprintf("m-%03d", i)).Heard = now
+				}
+			}
+			c.fleet.Silence(now)
+			c.condemn(now)
+			now = now.Add(step)
+		}
+		var lost []string
+		c.fleet.Each(func(m *fleet.Machine) {
+			if m.State == fleet.Returning {
+				lost = append(lost, m.ID)
+			}
+		})
+		slices.Sort(lost)
+		if len(lost) != tc.want {
+			t.Errorf("%s: %d machines are given up, expected %d: %v", tc.name, len(lost), tc.want, lost)
+		}
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -126,6 +126,7 @@
 	Shift    uint64
 	Tick     uint64
 	Heard    time.Time // last report, here or at another node
+	Reported time.Time // last report here
 	Since    time.Time // of the last change of state
 	Born     time.Time // when it was first known
 	Listed   bool
@@ -221,7 +222,7 @@
 func (f *Fleet) Know(id string, now time.Time) *Machine {
 	m := f.machines[id]
 	if m == nil {
-		m = &Machine{ID: id, State: Booting, Heard: now, Since: now, Born: now, IdleAt: now,
+		m = &Machine{ID: id, State: Booting, Heard: now, Reported: now, Since: now, Born: now, IdleAt: now,
 			attempts: map[attemptKey]*Attempt{}, Images: map[string]time.Time{}, Errors: map[string]time.Time{}}
 		f.machines[id] = m
 		f.watcher.MachineChanged(m, Booting, "known")
@@ -345,7 +346,7 @@
 		return m, false
 	}
 	newSession, heardAgo := r.Shift > m.Shift && m.Shift != 0, now.Sub(m.Heard)
-	m.Shift, m.Tick, m.Heard = r.Shift, r.Tick, now
+	m.Shift, m.Tick, m.Heard, m.Reported = r.Shift, r.Tick, now, now
 	m.Address, m.Rig, m.Yard, m.Standby = r.Address, r.Rig, r.Yard, r.Standby
 	if r.WarningS != nil {
 		m.Warned = true
