Spare room: two standard deviations, of the tasks that arrive rather than the jobs

Cause: services waited for a boot although batch would have left the room at once; the deviation took all jobs of a class to be of one size.

--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -339,7 +339,7 @@
 	spec  *wire.Work
 	level int
 	count float64 // jobs, each less the longer ago it came
-	legs  float64 // tasks of a job, on the mean
+	legs2 float64 // tasks of a job, squared, on the mean
 	at    time.Time
 }
 
@@ -357,14 +357,14 @@
 
 // arrived notes a new job.
 func (c *Controller) arrived(j *job, now time.Time) {
-	s := &j.rec.Spec
+	s, legs := &j.rec.Spec, float64(j.rec.Spec.Legs)
 	a := c.arrive[s.Berth]
 	if a == nil {
-		a = &arrivals{at: now, legs: float64(s.Legs)}
+		a = &arrivals{at: now, legs2: legs * legs}
 		c.arrive[s.Berth] = a
 	}
 	a.spec, a.level = s, j.level
-	a.legs += (float64(s.Legs) - a.legs) / 8
+	a.legs2 += (legs*legs - a.legs2) / 8
 	a.fade(now, c.fadeS())
 	a.count++
 }
@@ -380,7 +380,7 @@
 		}
 		a.fade(now, c.fadeS())
 		perS := a.count / c.fadeS()
-		n := int(math.Ceil(factor * float64(provision.Spare(perS, a.legs, c.bootS(a.spec)))))
+		n := int(math.Ceil(factor * float64(provision.Spare(perS, a.legs2, c.bootS(a.spec)))))
 		for i := range n {
 			spec := *a.spec
 			spec.Uid, spec.Legs, spec.Shape, spec.Together, spec.Scatter = "", 1, wire.Sweep, false, false
--- a/internal/ledger/settings.go
+++ b/internal/ledger/settings.go
@@ -10,7 +10,7 @@
 // The paper's default interval is 3 s; the fetch of an image takes most of the
 // time that users wait, so a round is a third of a report's interval here.
 func DefaultSettings(reportS float64) wire.Settings {
-	return wire.Settings{IntervalS: reportS / 3, Window: 200, Spare: 1}
+	return wire.Settings{IntervalS: reportS / 3, Window: 200, Spare: 2}
 }
 
 // CheckSettings reports what is wrong with the operators' own settings.
--- a/internal/provision/provision.go
+++ b/internal/provision/provision.go
@@ -147,8 +147,9 @@
 	return best, room, !math.IsInf(bestCost, 1)
 }
 
-// Spare is how many tasks of a class to keep room for: what its arrivals vary
-// by (a standard deviation of a Poisson count) while a machine boots.
-func Spare(jobsPerS, legsPerJob, bootS float64) int {
-	return int(math.Ceil(math.Sqrt(jobsPerS*bootS) * legsPerJob))
+// Spare is how many tasks of a class to keep room for: a standard deviation of
+// what arrives while a machine boots. Jobs come by chance, and legs2 is the mean
+// of their tasks squared: a few large jobs vary more than many small ones.
+func Spare(jobsPerS, legs2, bootS float64) int {
+	return int(math.Ceil(math.Sqrt(jobsPerS * bootS * legs2)))
 }
