A node whose successor is in another zone leads; an ill-placed leader hands over

Workers of the other zone that lose stile-2 try stile-0 next, which the cut hides too, and find stile-1 only when their lease has ended. Config.Handicap tells from zones and order how badly a node is placed. Such a node waits an eighth of the hold before it campaigns, and hands over once a better one has been well for three leases. In one zone all nodes are equal.

--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -95,6 +96,7 @@
 	n.load.limit, n.load.most = cfg.ReportEvery()/2, int64(cfg.Cluster.Limits.MaxConnections/8)
 	n.echo = n.routes()
 	n.elector = election.New(n.store, cfg.Label, cfg.HoldTTL(), n.leadTerm)
+	n.elector.Prefer(cfg.Handicap(cfg.Label), n.better)
 	return n
 }
 
@@ -156,6 +158,18 @@
 	c.Run(ctx)
 }
 
+// better reports whether a peer that is better placed to lead has been well for
+// so long that it is worth a change of leader.
+func (n *Node) better() bool {
+	own, enough := n.cfg.Handicap(n.cfg.Label), 3*n.cfg.Lease()
+	if c := n.lead.Load(); c == nil || time.Since(c.Begun()) < enough {
+		return false
+	}
+	return slices.ContainsFunc(n.peers, func(p *peer.Peer) bool {
+		return n.cfg.Handicap(p.Label) < own && p.Well() > enough
+	})
+}
+
 func (n *Node) resetSettings(rows []wire.Item, _ uint64) {
 	for _, row := range rows {
 		n.takeSettings(row.Key, row.Value, row.Stamp)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -178,5 +179,33 @@
 	return seconds(c.Cluster.Workers.CancelS) - c.Lease() - c.Lease()/10
 }
 
+// Handicap says how badly this node is placed to lead: 0 for the best. A worker
+// that loses its leader tries the nodes after it in order, and each that a cut
+// between zones hides costs it half of its lease. So a leader is well placed if
+// few nodes of its own zone follow it before the first one of any other zone.
+func (c *Config) Handicap(label string) int {
+	zones := map[string]string{c.Label: c.Location}
+	labels := []string{c.Label}
+	for _, m := range c.Members {
+		zones[m.Label] = m.Location
+		labels = append(labels, m.Label)
+	}
+	slices.Sort(labels)
+	hops := func(label string) int {
+		at, worst, seen := slices.Index(labels, label), 0, map[string]bool{zones[label]: true}
+		for i := 1; i < len(labels); i++ {
+			if z := zones[labels[(at+i)%len(labels)]]; !seen[z] {
+				seen[z], worst = true, i
+			}
+		}
+		return worst
+	}
+	best := hops(label)
+	for _, l := range labels {
+		best = min(best, hops(l))
+	}
+	return hops(label) - best
+}
+
 // ValueBytes is the largest value that the project writes.
 func (c *Config) ValueBytes() int { return int(c.Cluster.State.ValueKb * 1024) }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -101,6 +101,9 @@
 // Term is the term it leads.
 func (c *Controller) Term() uint64 { return c.term }
 
+// Begun is when the term began here.
+func (c *Controller) Begun() time.Time { return c.begun }
+
 // Run leads until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -50,10 +50,12 @@
 
 // Elector runs the election at one node.
 type Elector struct {
-	store Store
-	label string
-	ttl   time.Duration
-	lead  func(ctx context.Context, term uint64)
+	store    Store
+	label    string
+	ttl      time.Duration
+	handicap int
+	better   func() bool
+	lead     func(ctx context.Context, term uint64)
 
 	mu      sync.Mutex
 	state   State
@@ -66,9 +68,14 @@
 // New makes an elector. lead is called for each term that this node leads; its
 // context ends with the term.
 func New(s Store, label string, ttl time.Duration, lead func(ctx context.Context, term uint64)) *Elector {
-	return &Elector{store: s, label: label, ttl: ttl, lead: lead, changed: make(chan struct{}, 1)}
+	return &Elector{store: s, label: label, ttl: ttl, lead: lead, better: func() bool { return false }, changed: make(chan struct{}, 1)}
 }
 
+// Prefer lets others go first: this node waits a little for each point of its
+// handicap before it campaigns, and hands its leadership over once better says
+// that a node with a lower one is well. It is called before Run.
+func (e *Elector) Prefer(handicap int, better func() bool) { e.handicap, e.better = handicap, better }
+
 // set is the one function that changes the state. e.mu is held.
 func (e *Elector) set(to State, why string) {
 	if e.state == to {
@@ -185,7 +192,7 @@
 			continue
 		}
 		// A little chance keeps nodes from colliding at every try.
-		time.Sleep(time.Duration(rand.Int64N(int64(e.ttl / 40))))
+		time.Sleep(time.Duration(rand.Int64N(int64(e.ttl/40))) + time.Duration(e.handicap)*e.ttl/8)
 		if v := e.View(); v.Leader != "" {
 			continue
 		}
@@ -277,6 +284,13 @@
 		case time.Since(renewed) > e.ttl:
 			e.move(Unproven, "hold not renewed")
 		}
+		if err == nil && e.better() {
+			slog.Info("handing over to a node that is better placed", "term", term)
+			stop()
+			if err := e.store.CloseHold(store.Urgent(ctx), permit); err != nil {
+				slog.Warn("hold not closed", "err", err) // it ends by itself
+			}
+		}
 	}
 	e.mu.Lock()
 	e.stop = nil
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -128,6 +128,7 @@
 	client *rpc.Client
 	last   PingReply
 	at     time.Time // start of the last ping that was answered
+	well   time.Time // since when every ping found the peer serving; zero if it is not
 }
 
 // Dialer opens a connection to a peer's address.
@@ -196,13 +197,29 @@
 func (p *Peer) Ping(a PingArgs) (PingReply, error) {
 	begun := time.Now()
 	var r PingReply
-	if err := p.call("Node.Ping", a, &r, p.timeout); err != nil {
-		return r, err
+	err := p.call("Node.Ping", a, &r, p.timeout)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case err != nil || !r.Serving:
+		p.well = time.Time{}
+	case p.well.IsZero():
+		p.well = begun
+	}
+	if err == nil {
+		p.last, p.at = r, begun
 	}
+	return r, err
+}
+
+// Well is how long the peer has been found serving without a break.
+func (p *Peer) Well() time.Duration {
 	p.mu.Lock()
-	p.last, p.at = r, begun
-	p.mu.Unlock()
-	return r, nil
+	defer p.mu.Unlock()
+	if p.well.IsZero() {
+		return 0
+	}
+	return time.Since(p.well)
 }
 
 // Last is the last answer to a ping, if one is no older than limit.
