--- a/internal/standin/day_test.go
+++ b/internal/standin/day_test.go
@@ -63,18 +63,21 @@
 max_connections = 700
 `
 
-var labels = []string{"n0", "n1", "n2"}
+var (
+	labels = []string{"n0", "n1", "n2"}
+	zoneOf = []string{"a", "b", "a"} // n2 is ill placed to lead
+)
 
 func nodeConfig(t testing.TB, i int) *config.Config {
 	t.Helper()
 	members := ""
 	for j, l := range labels {
 		if j != i {
-			members += fmt.Sprintf("[[members]]\nlabel = %q\nlocation = \"a\"\nendpoint = \"%s:81\"\n", l, l)
+			members += fmt.Sprintf("[[members]]\nlabel = %q\nlocation = %q\nendpoint = \"%s:81\"\n", l, zoneOf[j], l)
 		}
 	}
 	l := labels[i]
-	cfg, err := config.Parse([]byte(fmt.Sprintf(settings, l, "a", l, l, members)))
+	cfg, err := config.Parse([]byte(fmt.Sprintf(settings, l, zoneOf[i], l, l, members)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -478,3 +481,32 @@
 		}
 	})
 }
+
+// A leader that is ill placed hands over once a better one has been well for a
+// while, and nothing that runs is lost by it.
+func TestHandOver(t *testing.T) {
+	inDay(t, func(d *day) {
+		d.crash(0)
+		d.crash(1)
+		time.Sleep(10 * time.Second)
+		leads := func(i int) bool {
+			item, ok := d.w.State.Get("e/leader")
+			return ok && strings.Contains(string(item.Value), labels[i])
+		}
+		if !leads(2) {
+			t.Fatal("the only node does not lead")
+		}
+		s := wire.Work{Uid: "run-000001", Berth: "serve", Crew: "crew", Shape: wire.Standing, Rank: wire.Critical, Legs: 4, Cores: 4, Gpus: 1, RamGb: 20, Rollout: "img", ImageGb: 4}
+		go d.w.User(s, 100*time.Second, time.Now().Add(150*time.Second))
+		time.Sleep(10 * time.Second)
+		d.start(0)
+		d.start(1)
+		time.Sleep(60 * time.Second)
+		if leads(2) {
+			t.Error("n2 still leads")
+		}
+		if n := d.w.Started(); n != 4 {
+			t.Errorf("%d starts, expected 4", n)
+		}
+	})
+}
