--- a/internal/standin/grown_test.go
+++ b/internal/standin/grown_test.go
@@ -1,6 +1,7 @@
 package standin_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -48,13 +49,40 @@
 	return broken, started
 }
 
+// junk sends what a broken worker or user might: each piece is refused at once,
+// whoever gets it, and leaves nothing behind.
+func junk(d *day) {
+	long := strings.Repeat("x", wire.MaxBody-200)
+	for i := range 300 {
+		node := labels[i%3]
+		d.expect(400, node, "POST", "/checkin", `{"Host":"m-`+long[:i]+`","Shift":`)
+		d.expect(400, node, "POST", "/checkin", fmt.Sprintf(`{"Host":"%d%s","Shift":1,"Tick":1}`, i, long))
+		d.expect(413, node, "POST", "/checkin", `{"Host":"m","Legs":["`+long+long+`"]}`)
+		d.expect(400, node, "POST", "/work", `{"Uid":"run-`+long+`"}`)
+		d.expect(413, node, "POST", "/work", long+long)
+	}
+	var st struct{ Lead wire.LeadStatus }
+	if err := json.Unmarshal([]byte(d.expect(200, "n2", "GET", "/admin/status", "")), &st); err != nil {
+		d.t.Error(err)
+	}
+	known := 0
+	for _, n := range st.Lead.Machines {
+		known += n
+	}
+	if known < 150 || known > 250 {
+		d.t.Errorf("the leader knows %d machines", known)
+	}
+}
+
 // The rules hold at the size that the deployments have grown to, also when the
-// leader changes.
+// leader changes and while junk comes in.
 func TestGrownFleet(t *testing.T) {
 	quiet(t)
 	synctest.Test(t, func(t *testing.T) {
 		broken, started := grown(t, 190, 90*time.Second, func(d *day) {
-			time.Sleep(40 * time.Second)
+			time.Sleep(20 * time.Second)
+			junk(d)
+			time.Sleep(20 * time.Second)
 			d.crash(0)
 			d.crash(1)
 			time.Sleep(4 * time.Second)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -121,7 +121,10 @@
 	return true
 }
 
-const maxAmount = 1e9
+const (
+	maxAmount = 1e9
+	maxName   = 200 // bytes of a name, as the state service allows for keys
+)
 
 // ParseWork decodes and validates a submission. Every error it returns means
 // that the body is malformed (400).
@@ -145,7 +148,7 @@
 		if f.in == nil || *f.in == "" {
 			return Work{}, fmt.Errorf("%s is missing", f.name)
 		}
-		if len(*f.in) > 200 {
+		if len(*f.in) > maxName {
 			return Work{}, fmt.Errorf("%s is too long", f.name)
 		}
 		*f.out = *f.in
@@ -292,6 +295,11 @@
 	if r.Host == "" || r.Shift == 0 {
 		return Report{}, errors.New("report lacks Host or Shift")
 	}
+	for _, f := range []string{r.Host, r.Address, r.Rig, r.Yard} {
+		if len(f) > maxName {
+			return Report{}, errors.New("a name in the report is too long")
+		}
+	}
 	return r, nil
 }
 
