--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -381,13 +381,11 @@
 		a.fade(now, c.fadeS())
 		perS := a.count / c.fadeS()
 		n := int(math.Ceil(factor * float64(provision.Spare(perS, a.legs2, c.bootS(a.spec)))))
-		if n == 0 {
-			continue
+		for i := range n {
+			spec := *a.spec
+			spec.Uid, spec.Legs, spec.Shape, spec.Together, spec.Scatter = "", 1, wire.Sweep, false, false
+			jobs = append(jobs, &sched.Job{Spec: &spec, Level: a.level, AtMs: int64(i), Waiting: 1, ByYard: map[string]int{}, Fetch: c.slackS(a.spec) < 0})
 		}
-		// One job for all: a pass for each task cost more than the round itself.
-		spec := *a.spec
-		spec.Uid, spec.Legs, spec.Shape, spec.Together, spec.Scatter = "", n, wire.Sweep, false, false
-		jobs = append(jobs, &sched.Job{Spec: &spec, Level: a.level, Waiting: n, ByYard: map[string]int{}, Fetch: c.slackS(a.spec) < 0})
 	}
 	return jobs
 }
