--- a/cmd/lotusstile/main.go
+++ b/cmd/lotusstile/main.go
@@ -58,10 +58,11 @@
 	if err != nil {
 		return err
 	}
-	// The limit counts all that the process holds; a third is left for what
-	// the runtime does not count and for bursts.
-	debug.SetMemoryLimit(int64(cfg.Cluster.Limits.MemMb * (1 << 20) * 2 / 3))
-	debug.SetGCPercent(200)
+	// The limit counts all that the process holds; half is left for what the
+	// runtime does not count and for bursts. Below that, memory is cheaper than
+	// the processor time of collections.
+	debug.SetMemoryLimit(int64(cfg.Cluster.Limits.MemMb * (1 << 20) / 2))
+	debug.SetGCPercent(400)
 	return api.New(cfg, api.TCP(cfg)).Run(context.Background())
 }
 
--- a/internal/api/http.go
+++ b/internal/api/http.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -94,7 +95,7 @@
 			return err
 		}
 		c.Set("body", body)
-		if n.serving() || !n.elsewhere() {
+		if n.serving() {
 			if err := h(c); !errors.Is(err, errElsewhere) {
 				return err
 			}
@@ -176,11 +177,23 @@
 }
 
 // retryLater answers a request that cannot be decided now.
-func retryLater(c echo.Context, why string) error {
-	c.Response().Header().Set(echo.HeaderRetryAfter, "1")
+func retryLater(c echo.Context, why string) error { return retryAfter(c, time.Second, why) }
+
+func retryAfter(c echo.Context, wait time.Duration, why string) error {
+	c.Response().Header().Set(echo.HeaderRetryAfter, strconv.Itoa(max(1, int(math.Ceil(wait.Seconds())))))
 	return c.JSON(http.StatusServiceUnavailable, wire.Fault{Error: why})
 }
 
+// notNow answers a change that could not be recorded: at once with word when to
+// come back if the budget is spent, else by another node.
+func notNow(c echo.Context, err error) error {
+	var busy *store.BusyError
+	if errors.As(err, &busy) {
+		return retryAfter(c, busy.After, "too many changes at once")
+	}
+	return errElsewhere
+}
+
 // ready answers health checks. A node is out only while it cannot serve and
 // another can: in an outage that all share, leaving would help nobody.
 func (n *Node) ready(c echo.Context) error {
@@ -195,11 +208,11 @@
 
 // userContext bounds the work for a user who waits for at most limit.
 func userContext(c echo.Context, limit time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(c.Request().Context(), limit)
+	return context.WithTimeout(store.User(c.Request().Context(), 0), limit)
 }
 
 const (
-	submitWait = 2500 * time.Millisecond // users wait 5 s for an answer to a submission
+	submitWait = 1250 * time.Millisecond // users wait 5 s for an answer to a submission
 	pollWait   = 1200 * time.Millisecond // and 2 s for one to a poll; a peer may still be asked
 )
 
@@ -237,7 +250,10 @@
 	if len(value) > n.cfg.ValueBytes() {
 		return echo.NewHTTPError(http.StatusBadRequest, "the description is too long")
 	}
-	_, err = n.store.Commit(ctx, wire.Commit{
+	// When many come at once, those of higher rank are taken first: each rank
+	// leaves a quarter of the budget to each rank above it.
+	leave := float64(wire.Critical.Level()-w.Rank.Level()) / float64(wire.Critical.Level())
+	_, err = n.store.Commit(store.User(ctx, leave), wire.Commit{
 		Guards: []wire.Guard{{Key: ledger.JobKey(w.Uid)}, {Key: ledger.FinalKey(w.Uid)}},
 		Apply:  []wire.Change{{Set: ledger.JobKey(w.Uid), Value: value}},
 	})
@@ -254,7 +270,7 @@
 	}
 	if err != nil {
 		slog.Info("submission not recorded", "uid", w.Uid, "err", err)
-		return errElsewhere
+		return notNow(c, err)
 	}
 	return c.JSON(http.StatusCreated, wire.JobView{Uid: w.Uid, Status: wire.JobQueued})
 }
@@ -397,7 +413,7 @@
 		case errors.As(err, &conflict):
 		default:
 			slog.Info("withdrawal not recorded", "uid", uid, "err", err)
-			return errElsewhere
+			return notNow(c, err)
 		}
 	}
 	return retryLater(c, "cannot be decided now")
--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -79,9 +79,8 @@
 	timeout := cfg.Lease() / 5
 	st := cfg.Cluster.State
 	n := &Node{
-		cfg: cfg,
-		// Followers need little, the leader most: each may use over half.
-		store:    store.New(cfg.Services.State, st.Rps*0.6, st.WriteRps*0.6, timeout, nw.State),
+		cfg:      cfg,
+		store:    store.New(cfg.Services.State, st.Rps, st.WriteRps, timeout, nw.State),
 		cloud:    cloud.New(cfg.Services.Cloud, cfg.Cluster.Cloud.Rps*0.7, timeout, nw.Cloud),
 		mirror:   ledger.NewMirror(),
 		peers:    peer.Peers(cfg, cfg.HoldTTL()/4, nw.Mesh),
@@ -274,7 +273,7 @@
 		if len(ids) == 0 || n.lead.Load() != nil || n.leader() != nil || !n.serving() {
 			continue
 		}
-		_, err := n.store.Commit(ctx, wire.Commit{Apply: []wire.Change{{Set: ledger.KeptPrefix + n.cfg.Label, Value: ledger.Encode(ledger.Kept{Hosts: ids})}}})
+		_, err := n.store.Commit(store.User(ctx, 0), wire.Commit{Apply: []wire.Change{{Set: ledger.KeptPrefix + n.cfg.Label, Value: ledger.Encode(ledger.Kept{Hosts: ids})}}})
 		if err != nil {
 			slog.Debug("kept machines not published", "err", err)
 		}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -79,7 +79,7 @@
 	told    map[string]time.Time     // announcements
 	held    map[string]chan struct{} // answers that wait for something to order, by machine
 	cutOff  map[string]time.Time     // by zone: when most of it was last silent
-	noted   map[string]int           // how many images of a machine are recorded
+	noted   map[string]imageNote     // which images of a machine are recorded
 	kept    map[string]bool          // machines kept as spare room by the last round
 	last    wire.RoundStatus
 	lastAt  time.Time
@@ -90,7 +90,7 @@
 func New(d Deps, term uint64) *Controller {
 	c := &Controller{Deps: d, term: term, wake: make(chan struct{}, 1), news: make(chan struct{}, 1), now: time.Now,
 		jobs: map[string]*job{}, pending: map[string]*rental{}, refused: map[provision.Group]refusal{},
-		arrive: map[string]*arrivals{}, cutOff: map[string]time.Time{}, noted: map[string]int{}, told: map[string]time.Time{}, held: map[string]chan struct{}{}}
+		arrive: map[string]*arrivals{}, cutOff: map[string]time.Time{}, noted: map[string]imageNote{}, told: map[string]time.Time{}, held: map[string]chan struct{}{}}
 	c.fleet = fleet.New(term, d.Config.Lease(), c)
 	c.returns.recs = map[string]*hostRec{}
 	c.begun = c.now()
@@ -193,7 +193,7 @@
 		for _, name := range rec.Names {
 			m.Images[name] = now
 		}
-		c.noted[id] = len(rec.Names)
+		c.noted[id] = imageNote{len(rec.Names), now}
 	}
 	inherited := 0
 	for _, row := range pieces {
@@ -407,14 +407,22 @@
 		if j.live == 0 {
 			j.waitFrom = c.now()
 		}
-		p.touch()
-		c.poke()
+		p.touch(c.now().Add(c.endsWait()))
 	}
 	if a.State == fleet.Ended {
 		c.ended(j, p, a)
 	}
+	if !a.Live() && c.over(j) {
+		c.poke()
+	}
 }
 
+// endsWait is how long the record of an end may wait for more of its piece.
+// Until then the task is reported as ended, and a new leader would learn of it
+// from there. Each end written at once took more of the state service's budget
+// of changes than all launches.
+func (c *Controller) endsWait() time.Duration { return 2 * c.Config.ReportEvery() }
+
 // ended takes the end of an attempt into its job.
 func (c *Controller) ended(j *job, p *piece, a *fleet.Attempt) {
 	now := c.now()
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -21,7 +21,8 @@
 	ended  []*fleet.Attempt // ended, not yet recorded so
 	seq    int              // counts changes
 	dirty  bool
-	unsure bool // the outcome of a commit is unknown: read before writing
+	due    time.Time // when a dirty piece is to be written
+	unsure bool      // the outcome of a commit is unknown: read before writing
 }
 
 // job is the leader's picture of a job.
@@ -160,7 +161,22 @@
 	return rec
 }
 
-func (p *piece) touch() {
+// touch notes a change that is to be recorded at due or before.
+func (p *piece) touch(due time.Time) {
 	p.seq++
+	if !p.dirty || due.Before(p.due) {
+		p.due = due
+	}
 	p.dirty = true
 }
+
+// planned lists the attempts whose launch is decided and not recorded yet.
+func (p *piece) planned() []*fleet.Attempt {
+	var as []*fleet.Attempt
+	for _, a := range p.live {
+		if a.State == fleet.Planned {
+			as = append(as, a)
+		}
+	}
+	return as
+}
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -303,7 +303,7 @@
 		}
 	}
 	slices.Sort(ids)
-	return ids[:min(len(ids), c.Config.Cluster.State.TxnOps)]
+	return ids[:min(len(ids), c.batchOps())]
 }
 
 func (c *Controller) recordReturns(ctx context.Context, ids []string) {
@@ -324,16 +324,24 @@
 	}
 }
 
+// imageNote is how many images of a machine are recorded, and since when.
+type imageNote struct {
+	images int
+	at     time.Time
+}
+
 // noteImages records which images machines have, so that a new leader knows
 // where starts are quick. It loses nothing but time if it is late or fails.
 func (c *Controller) noteImages(ctx context.Context) {
 	for sleep(ctx, c.Config.ReportEvery()) {
 		c.mu.Lock()
+		now := c.now()
 		tx := wire.Commit{Guards: []wire.Guard{{Key: ledger.LeaderKey, Stamp: c.term}}}
-		noted := map[string]int{}
+		noted := map[string]imageNote{}
+		most := max(1, int(c.Config.Cluster.State.WriteRps/8))
 		c.fleet.Each(func(m *fleet.Machine) {
-			if m.State == fleet.Ready && len(m.Images) > c.noted[m.ID] && len(tx.Apply) < c.Config.Cluster.State.TxnOps/2 {
-				noted[m.ID] = len(m.Images)
+			if m.State == fleet.Ready && len(m.Images) > c.noted[m.ID].images && now.Sub(c.noted[m.ID].at) > c.Config.Lease() && len(tx.Apply) < most {
+				noted[m.ID] = imageNote{len(m.Images), now}
 				names := slices.Sorted(maps.Keys(m.Images))
 				tx.Apply = append(tx.Apply, wire.Change{Set: ledger.ImagesKey(m.ID), Value: ledger.Encode(ledger.Images{Names: names[:min(len(names), 16)]})})
 			}
@@ -342,7 +350,7 @@
 		if len(tx.Apply) == 0 {
 			continue
 		}
-		if _, err := c.Store.Commit(ctx, tx); err != nil {
+		if _, err := c.Store.Commit(store.Note(ctx), tx); err != nil {
 			c.checkDeposed(err)
 			continue
 		}
@@ -385,11 +393,11 @@
 			ids = append(ids, id)
 		}
 	}
-	ids = ids[:min(len(ids), c.Config.Cluster.State.TxnOps/2)]
+	ids = ids[:min(len(ids), max(2, c.batchOps()/6))]
 	tx := wire.Commit{Guards: []wire.Guard{{Key: ledger.LeaderKey, Stamp: c.term}}}
 	for _, id := range ids {
 		tx.Apply = append(tx.Apply, wire.Change{Drop: ledger.HostKey(id)})
-		if c.noted[id] > 0 {
+		if c.noted[id].images > 0 {
 			tx.Apply = append(tx.Apply, wire.Change{Drop: ledger.ImagesKey(id)})
 		}
 	}
@@ -397,8 +405,8 @@
 	if len(ids) == 0 {
 		return
 	}
-	if _, err := c.Store.Commit(ctx, tx); err != nil {
-		slog.Warn("returned machines not forgotten", "err", err)
+	if _, err := c.Store.Commit(store.Note(ctx), tx); err != nil {
+		slog.Debug("returned machines not forgotten", "err", err)
 		c.checkDeposed(err)
 		return
 	}
--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -94,7 +94,7 @@
 	budget := max(1, int(c.Config.Cluster.State.WriteRps))
 	for _, j := range c.jobs {
 		for _, p := range j.pieces {
-			if p.dirty {
+			if p.dirty && !p.due.After(now) {
 				budget--
 			}
 		}
@@ -111,7 +111,7 @@
 		}
 		for _, leg := range j.pick(pl.Count) {
 			p := j.piece(leg)
-			if !p.dirty {
+			if !p.dirty || p.due.After(now) {
 				budget--
 			}
 			a := &fleet.Attempt{Uid: j.uid, Leg: leg, Try: p.next, Need: j.need, Image: j.rec.Spec.Rollout}
@@ -121,7 +121,7 @@
 			p.next = max(p.next, a.Try+1)
 			p.live[leg] = a
 			j.live++
-			p.touch()
+			p.touch(now)
 			c.fleet.Place(m, a, now)
 			started++
 		}
--- a/internal/controller/writer.go
+++ b/internal/controller/writer.go
@@ -17,6 +17,7 @@
 // batch is one commit of the writer and what follows from it.
 type batch struct {
 	tx     wire.Commit
+	note   bool // nothing waits for it
 	pieces []pieceWrite
 	jobs   []*job // archived, or marked final, by it
 	gone   []bool // whether the job is archived by it
@@ -48,50 +49,83 @@
 			if b == nil {
 				break
 			}
-			if !c.commit(ctx, b) {
-				sleep(ctx, tick/2)
+			if c.commit(ctx, b) {
+				continue
+			}
+			if b.note {
+				break // later, when records leave more room
 			}
+			sleep(ctx, tick/2)
 		}
 	}
 }
 
-// collect makes the next batch: ends and launches of the highest ranks first,
-// then jobs to archive. It returns nil if there is nothing to write.
+// collect makes the next batch: what launches, ends and archives jobs that are
+// done, of the highest ranks first; if there is nothing of that, it archives
+// withdrawn jobs, whose status is recorded already. It returns nil if there is
+// nothing to write.
 func (c *Controller) collect() *batch {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	b := &batch{tx: wire.Commit{Guards: []wire.Guard{{Key: ledger.LeaderKey, Stamp: c.term}}}}
-	ops := c.Config.Cluster.State.TxnOps
-	var jobs []*job
+	now := c.now()
+	var jobs, withdrawn []*job
 	for _, j := range c.jobs {
-		jobs = append(jobs, j)
+		switch {
+		case j.unsure:
+		case c.over(j) && j.rec.Status.Final():
+			withdrawn = append(withdrawn, j)
+		case c.over(j) || !j.rec.Status.Final() && j.writes(now):
+			jobs = append(jobs, j)
+		}
+	}
+	ops := c.batchOps()
+	b := c.batch(jobs, now, ops)
+	if len(b.tx.Apply) == 0 {
+		b = c.batch(withdrawn, now, max(4, ops/2))
+		b.note = true
+	}
+	if len(b.tx.Apply) == 0 {
+		return nil
 	}
+	return b
+}
+
+// batchOps is how many changes go into one commit: no more than the budget
+// holds at once, or the commit would never find room.
+func (c *Controller) batchOps() int {
+	limits := c.Config.Cluster.State
+	return min(limits.TxnOps, max(4, int(limits.WriteRps*store.RecordShare)))
+}
+
+// writes reports whether a piece of the job is to be written now.
+func (j *job) writes(now time.Time) bool {
+	for _, p := range j.pieces {
+		if p.dirty && !p.unsure && !p.due.After(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// batch puts into one commit of at most ops changes what has room of what jobs
+// have to write.
+func (c *Controller) batch(jobs []*job, now time.Time, ops int) *batch {
+	b := &batch{tx: wire.Commit{Guards: []wire.Guard{{Key: ledger.LeaderKey, Stamp: c.term}}}}
 	slices.SortFunc(jobs, func(x, y *job) int {
 		return cmp.Or(cmp.Compare(y.level, x.level), cmp.Compare(x.uid, y.uid))
 	})
 	size := 0
 	for _, j := range jobs {
-		if j.unsure {
-			continue
-		}
 		if c.over(j) {
-			size += c.archive(b, j, ops)
-			continue
-		}
-		if j.rec.Status.Final() {
+			c.archive(b, j, ops)
 			continue
 		}
 		launches := false
 		for _, p := range j.pieces {
-			if !p.dirty || p.unsure || len(b.tx.Apply) >= ops || size > maxTx || len(b.tx.Guards)+2 > 4*ops {
+			if !p.dirty || p.unsure || p.due.After(now) || len(b.tx.Apply) >= ops || size > maxTx || len(b.tx.Guards)+2 > 4*ops {
 				continue
 			}
-			w := pieceWrite{p: p, seq: p.seq, ended: slices.Clone(p.ended)}
-			for _, a := range p.live {
-				if a.State == fleet.Planned {
-					w.planned = append(w.planned, a)
-				}
-			}
+			w := pieceWrite{p: p, seq: p.seq, planned: p.planned(), ended: slices.Clone(p.ended)}
 			value := ledger.Encode(p.record())
 			size += len(value)
 			key := ledger.PieceKey(j.uid, p.n)
@@ -105,9 +139,6 @@
 			b.tx.Guards = append(b.tx.Guards, wire.Guard{Key: ledger.JobKey(j.uid), Stamp: j.stamp})
 		}
 	}
-	if len(b.tx.Apply) == 0 {
-		return nil
-	}
 	return b
 }
 
@@ -123,7 +154,7 @@
 // archive adds to a batch what brings a job nearer to its end: its pieces are
 // dropped and its final status takes the place of its record, in one commit if
 // it has room, else over several.
-func (c *Controller) archive(b *batch, j *job, ops int) int {
+func (c *Controller) archive(b *batch, j *job, ops int) {
 	stored := 0
 	unsure := false
 	for _, p := range j.pieces {
@@ -134,7 +165,7 @@
 	}
 	room := ops - len(b.tx.Apply)
 	if unsure || room < 2 || len(b.tx.Guards)+stored+2 > 4*ops {
-		return 0
+		return
 	}
 	status := wire.JobDone
 	if j.rec.Status.Final() {
@@ -143,7 +174,7 @@
 	jobGuard := wire.Guard{Key: ledger.JobKey(j.uid), Stamp: j.stamp}
 	if stored+2 > room {
 		if len(b.tx.Apply) > 0 {
-			return 0 // a job of many pieces gets a batch of its own
+			return // a job of many pieces gets a batch of its own
 		}
 		if !j.rec.Status.Final() {
 			rec := *j.rec
@@ -151,7 +182,7 @@
 			b.tx.Guards = append(b.tx.Guards, jobGuard)
 			b.tx.Apply = append(b.tx.Apply, wire.Change{Set: jobGuard.Key, Value: ledger.Encode(rec)})
 			b.jobs, b.gone = append(b.jobs, j), append(b.gone, false)
-			return 0
+			return
 		}
 		for _, p := range j.pieces {
 			if p.stamp == 0 || len(b.tx.Apply) >= ops {
@@ -159,7 +190,7 @@
 			}
 			b.drop(p)
 		}
-		return 0
+		return
 	}
 	b.tx.Guards = append(b.tx.Guards, jobGuard, wire.Guard{Key: ledger.FinalKey(j.uid), Stamp: 0})
 	b.tx.Apply = append(b.tx.Apply, wire.Change{Drop: jobGuard.Key},
@@ -170,7 +201,6 @@
 		}
 	}
 	b.jobs, b.gone = append(b.jobs, j), append(b.gone, true)
-	return 0
 }
 
 func (b *batch) drop(p *piece) {
@@ -183,7 +213,11 @@
 // commit sends a batch and takes its outcome into the picture. It returns
 // false if the writer should pause.
 func (c *Controller) commit(ctx context.Context, b *batch) bool {
-	epoch, err := c.Store.Commit(ctx, b.tx)
+	sctx := ctx
+	if b.note {
+		sctx = store.Note(ctx)
+	}
+	epoch, err := c.Store.Commit(sctx, b.tx)
 	var conflict *store.ConflictError
 	switch {
 	case err == nil:
@@ -201,6 +235,9 @@
 		slog.Warn("commit's outcome is unknown", "term", c.term, "err", err)
 		c.reread(ctx, b)
 		return false
+	case b.note:
+		slog.Debug("left for later", "term", c.term, "err", err)
+		return false
 	default:
 		slog.Warn("commit refused", "term", c.term, "err", err)
 		return false
@@ -217,12 +254,14 @@
 			w.p.stamp = 0
 			continue
 		}
-		if w.p.seq == w.seq {
-			w.p.dirty = false
-		}
 		for _, a := range w.planned {
 			c.fleet.Commit(a, now)
 		}
+		if w.p.seq == w.seq {
+			w.p.dirty = false
+		} else if len(w.p.planned()) == 0 {
+			w.p.due = now.Add(c.endsWait()) // only ends came meanwhile
+		}
 		w.p.ended = slices.DeleteFunc(w.p.ended, func(a *fleet.Attempt) bool { return slices.Contains(w.ended, a) })
 		for _, a := range w.ended {
 			c.fleet.Record(a, now)
--- /dev/null
+++ b/internal/standin/grown_test.go
@@ -0,0 +1,71 @@
+package standin_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// grown plays minutes of a deployment of some 190 machines and hundreds of jobs.
+func grown(tb testing.TB, machines int, long time.Duration, during func(d *day)) (broken []string, started int) {
+	d := newDay(tb, 7)
+	d.w.Capacity = machines + machines/8
+	r := rand.New(rand.NewPCG(7, 2))
+	d.w.AddMachines("g8", "a", machines/2)
+	d.w.AddMachines("g8", "b", machines-machines/2)
+	time.Sleep(3 * time.Second)
+	deadline := time.Now().Add(long + 2*time.Minute)
+	var users sync.WaitGroup
+	for i := range machines + int(long.Seconds()) {
+		spec := wire.Work{Uid: fmt.Sprintf("run-%06d", i), Berth: "serve", Crew: "free", Shape: wire.Standing, Rank: wire.High, Legs: 1 + r.IntN(6),
+			Cores: 4, Gpus: 1, RamGb: 20, Rollout: fmt.Sprintf("img-%d", r.IntN(6)), ImageGb: 4}
+		stay := long/4 + time.Duration(r.IntN(int(long*3/4)))
+		if i%4 == 0 {
+			spec.Berth, spec.Shape, spec.Rank, spec.Legs, spec.ExpectS, spec.Standby = "batch", wire.Sweep, wire.Standard, 5+r.IntN(40), float64(10+r.IntN(40)), true
+			stay = 0
+		}
+		at := time.Duration(max(0, i-machines)) * time.Second
+		users.Add(1)
+		go func() {
+			defer users.Done()
+			time.Sleep(at)
+			d.w.User(spec, stay, deadline)
+		}()
+	}
+	go d.w.Watch(deadline)
+	if during != nil {
+		during(d)
+	}
+	users.Wait()
+	broken, started = d.w.Broken(), d.w.Started()
+	d.end()
+	return broken, started
+}
+
+// The rules hold at the size that the deployments have grown to, also when the
+// leader changes.
+func TestGrownFleet(t *testing.T) {
+	quiet(t)
+	synctest.Test(t, func(t *testing.T) {
+		broken, started := grown(t, 190, 90*time.Second, func(d *day) {
+			time.Sleep(40 * time.Second)
+			d.crash(0)
+			d.crash(1)
+			time.Sleep(4 * time.Second)
+			d.start(0)
+			d.start(1)
+		})
+		if started < 500 {
+			t.Errorf("%d tasks were started", started)
+		}
+		if len(broken) > 0 {
+			t.Errorf("%d rules broken:\n%s", len(broken), strings.Join(broken[:min(5, len(broken))], "\n"))
+		}
+	})
+}
