Returns are recorded many machines to a record, and sent without pauses between

Cause: each lost machine took a change of its own, 20 to a commit and a commit each third of a report's interval: of 47 to 124 machines lost together the last were confirmed gone, and their tasks placed anew, 3 to 6 s after the first.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -63,27 +64,29 @@
 	news chan struct{} // a job came
 	now  func() time.Time
 
-	mu      sync.Mutex
-	cancel  context.CancelFunc
-	loaded  bool
-	begun   time.Time
-	fleet   *fleet.Fleet
-	jobs    map[string]*job
-	cat     *wire.Catalog
-	rents   int // counter in booking names
-	pending map[string]*rental
-	refused map[provision.Group]refusal
-	window  int
-	returns returner
-	arrive  map[string]*arrivals
-	told    map[string]time.Time     // announcements
-	held    map[string]chan struct{} // answers that wait for something to order, by machine
-	cutOff  map[string]time.Time     // by zone: when most of it was last silent
-	noted   map[string]imageNote     // which images of a machine are recorded
-	kept    map[string]bool          // machines kept as spare room by the last round
-	last    wire.RoundStatus
-	lastAt  time.Time
-	steady  time.Time
+	mu             sync.Mutex
+	cancel         context.CancelFunc
+	loaded         bool
+	begun          time.Time
+	fleet          *fleet.Fleet
+	jobs           map[string]*job
+	cat            *wire.Catalog
+	rents          int // counter in booking names
+	pending        map[string]*rental
+	refused        map[provision.Group]refusal
+	window         int
+	returns        map[string]*giveBack
+	returnsRecords []returnsRecord
+	returnKeys     int // counter in their keys
+	arrive         map[string]*arrivals
+	told           map[string]time.Time     // announcements
+	held           map[string]chan struct{} // answers that wait for something to order, by machine
+	cutOff         map[string]time.Time     // by zone: when most of it was last silent
+	noted          map[string]imageNote     // which images of a machine are recorded
+	kept           map[string]bool          // machines kept as spare room by the last round
+	last           wire.RoundStatus
+	lastAt         time.Time
+	steady         time.Time
 }
 
 // New makes the controller of a term.
@@ -92,7 +95,7 @@
 		jobs: map[string]*job{}, pending: map[string]*rental{}, refused: map[provision.Group]refusal{},
 		arrive: map[string]*arrivals{}, cutOff: map[string]time.Time{}, noted: map[string]imageNote{}, told: map[string]time.Time{}, held: map[string]chan struct{}{}}
 	c.fleet = fleet.New(term, d.Config.Lease(), c)
-	c.returns.recs = map[string]*hostRec{}
+	c.returns = map[string]*giveBack{}
 	c.begun = c.now()
 	c.window = d.Settings().Window
 	return c
@@ -161,14 +164,14 @@
 // their leases and get no orders.
 func (c *Controller) load(ctx context.Context) error {
 	var lists [4][]wire.Item
-	for i, under := range []string{ledger.JobPrefix, ledger.PiecePrefix, ledger.HostPrefix, ledger.ImagesPrefix} {
+	for i, under := range []string{ledger.JobPrefix, ledger.PiecePrefix, ledger.ReturnsPrefix, ledger.ImagesPrefix} {
 		rows, _, err := c.Store.List(ctx, under)
 		if err != nil {
 			return err
 		}
 		lists[i] = rows
 	}
-	jobs, pieces, hosts, images := lists[0], lists[1], lists[2], lists[3]
+	jobs, pieces, returns, images := lists[0], lists[1], lists[2], lists[3]
 	for _, row := range jobs {
 		var rec ledger.Job
 		if err := json.Unmarshal(row.Value, &rec); err != nil {
@@ -179,11 +182,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
-	for _, row := range hosts {
-		id := strings.TrimPrefix(row.Key, ledger.HostPrefix)
-		m := c.fleet.Know(id, now)
-		c.fleet.Return(m, now, "return was attempted in an earlier term")
-		c.returns.recs[id] = &hostRec{stamp: row.Stamp}
+	for _, row := range returns {
+		var rec ledger.Returns
+		if err := json.Unmarshal(row.Value, &rec); err != nil {
+			return fmt.Errorf("record of returns %s: %w", row.Key, err)
+		}
+		for _, id := range rec.Hosts {
+			c.fleet.Return(c.fleet.Know(id, now), now, "return was attempted in an earlier term")
+			c.returns[id] = &giveBack{recorded: true}
+		}
+		if !slices.ContainsFunc(c.returnsRecords, func(r returnsRecord) bool { return r.key == row.Key }) {
+			c.returnsRecords = append(c.returnsRecords, returnsRecord{row.Key, rec.Hosts})
+		}
 	}
 	for _, row := range images {
 		id := strings.TrimPrefix(row.Key, ledger.ImagesPrefix)
@@ -226,7 +236,7 @@
 	}
 	c.loaded = true
 	c.steady = now
-	slog.Info("picture loaded", "term", c.term, "jobs", len(c.jobs), "attempts", inherited, "returning", len(hosts))
+	slog.Info("picture loaded", "term", c.term, "jobs", len(c.jobs), "attempts", inherited, "returning", len(c.returns))
 	return nil
 }
 
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -30,16 +30,6 @@
 	pause time.Duration
 }
 
-// hostRec is the record that a machine's return was attempted.
-type hostRec struct {
-	stamp  uint64 // 0: not committed yet
-	sentAt time.Time
-	goneAt time.Time // when the cloud confirmed
-}
-
-// returner holds what is to be returned.
-type returner struct{ recs map[string]*hostRec }
-
 // book names a rental: the term and a counter make names that no node uses
 // again.
 func (c *Controller) book(r provision.Rent) *rental {
@@ -155,8 +145,8 @@
 		if m.Listed && !seen[m.ID] && now.Sub(m.Born) > 4*c.Config.ListLag()+c.Config.Lease() && now.Sub(m.Heard) > 2*c.Config.ReportEvery() {
 			m.Failed = true
 		}
-		if rec := c.returns.recs[m.ID]; rec != nil && m.State == fleet.Gone && seen[m.ID] {
-			rec.goneAt = now // still listed: keep its record
+		if ret := c.returns[m.ID]; ret != nil && m.State == fleet.Gone && seen[m.ID] {
+			ret.goneAt = now // still listed: keep its record
 		}
 	})
 }
@@ -267,71 +257,6 @@
 	})
 }
 
-// giveUp starts the return of a machine.
-func (c *Controller) giveUp(m *fleet.Machine, now time.Time, why string) {
-	c.fleet.Return(m, now, why)
-	if c.returns.recs[m.ID] == nil {
-		c.returns.recs[m.ID] = &hostRec{}
-	}
-}
-
-// returning returns machines: first the record, then the request, until the
-// cloud confirms; the record goes once no list shows the machine any more.
-func (c *Controller) returning(ctx context.Context) {
-	pause := c.Config.ReportEvery() / 3
-	for sleep(ctx, pause) {
-		if ids := c.returnsToRecord(); len(ids) > 0 {
-			c.recordReturns(ctx, ids)
-		}
-		if ids := c.returnsToSend(); len(ids) > 0 {
-			err := c.Cloud.Return(ctx, ids)
-			c.mu.Lock()
-			now := c.now()
-			if err != nil {
-				slog.Warn("return failed", "hosts", ids, "err", err)
-			} else {
-				for _, id := range ids {
-					c.returns.recs[id].goneAt = now
-					c.fleet.Confirm(c.fleet.Get(id), now, "returned")
-				}
-			}
-			c.mu.Unlock()
-		}
-		c.forgetReturned(ctx)
-	}
-}
-
-func (c *Controller) returnsToRecord() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var ids []string
-	for id, r := range c.returns.recs {
-		if r.stamp == 0 {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	return ids[:min(len(ids), c.batchOps())]
-}
-
-func (c *Controller) recordReturns(ctx context.Context, ids []string) {
-	tx := wire.Commit{Guards: []wire.Guard{{Key: ledger.LeaderKey, Stamp: c.term}}}
-	for _, id := range ids {
-		tx.Apply = append(tx.Apply, wire.Change{Set: ledger.HostKey(id), Value: ledger.Encode(ledger.Host{Returning: true})})
-	}
-	epoch, err := c.Store.Commit(ctx, tx)
-	if err != nil {
-		slog.Warn("return not recorded", "hosts", ids, "err", err)
-		c.checkDeposed(err)
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, id := range ids {
-		c.returns.recs[id].stamp = epoch
-	}
-}
-
 // imageNote is how many images of a machine are recorded, and since when.
 type imageNote struct {
 	images int
@@ -376,57 +301,6 @@
 	}
 }
 
-func (c *Controller) returnsToSend() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var ids []string
-	for id, r := range c.returns.recs {
-		if r.stamp != 0 && r.goneAt.IsZero() {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	return ids[:min(len(ids), wire.MaxReturn)]
-}
-
-// forgetReturned drops the records of machines that are gone for long enough
-// that no list shows them.
-func (c *Controller) forgetReturned(ctx context.Context) {
-	keep := 6*c.Config.ListLag() + 3*c.Config.Lease()
-	c.mu.Lock()
-	now := c.now()
-	var ids []string
-	for id, r := range c.returns.recs {
-		if !r.goneAt.IsZero() && now.Sub(r.goneAt) > keep {
-			ids = append(ids, id)
-		}
-	}
-	ids = ids[:min(len(ids), max(2, c.batchOps()/6))]
-	tx := wire.Commit{Guards: []wire.Guard{{Key: ledger.LeaderKey, Stamp: c.term}}}
-	for _, id := range ids {
-		tx.Apply = append(tx.Apply, wire.Change{Drop: ledger.HostKey(id)})
-		if c.noted[id].images > 0 {
-			tx.Apply = append(tx.Apply, wire.Change{Drop: ledger.ImagesKey(id)})
-		}
-	}
-	c.mu.Unlock()
-	if len(ids) == 0 {
-		return
-	}
-	if _, err := c.Store.Commit(store.Note(ctx), tx); err != nil {
-		slog.Debug("returned machines not forgotten", "err", err)
-		c.checkDeposed(err)
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, id := range ids {
-		delete(c.returns.recs, id)
-		delete(c.noted, id)
-		c.fleet.Forget(id)
-	}
-}
-
 // announcing tells the token to workers that do not report: they may sit at a
 // deposed leader that still answers them.
 func (c *Controller) announcing(ctx context.Context) {
--- /dev/null
+++ b/internal/controller/returns.go
@@ -0,0 +1,181 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/store"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// giveBack is a machine that is being returned.
+type giveBack struct {
+	recorded bool      // in a returns' record
+	goneAt   time.Time // when the cloud confirmed, or last listed it after that
+}
+
+// returnsRecord is a record that lists machines whose return is attempted.
+type returnsRecord struct {
+	key   string
+	hosts []string
+}
+
+// giveUp starts the return of a machine.
+func (c *Controller) giveUp(m *fleet.Machine, now time.Time, why string) {
+	c.fleet.Return(m, now, why)
+	if c.returns[m.ID] == nil {
+		c.returns[m.ID] = &giveBack{}
+	}
+}
+
+// returning returns machines: first the record, then the request, until the
+// cloud confirms; the record goes once no list shows its machines any more.
+func (c *Controller) returning(ctx context.Context) {
+	pause := c.Config.ReportEvery() / 3
+	for sleep(ctx, pause) {
+		for c.recordReturns(ctx) {
+		}
+		for c.sendReturns(ctx) {
+		}
+		c.forgetReturned(ctx)
+	}
+}
+
+// recordReturns records what is to be returned, as many machines to a record as
+// a value holds: when a fleet loses a hundred machines at once, a change for
+// each held up the launches that replace what they ran. It reports whether it
+// recorded any.
+func (c *Controller) recordReturns(ctx context.Context) bool {
+	c.mu.Lock()
+	var hosts []string
+	for id, r := range c.returns {
+		if !r.recorded {
+			hosts = append(hosts, id)
+		}
+	}
+	if len(hosts) == 0 {
+		c.mu.Unlock()
+		return false
+	}
+	slices.Sort(hosts)
+	hosts = ledger.FitHosts(hosts, c.Config.ValueBytes())
+	// A key is used once: were it written again, a late transaction could put
+	// an older list in the place of a newer one.
+	c.returnKeys++
+	rec := returnsRecord{fmt.Sprintf("%s%d-%d", ledger.ReturnsPrefix, c.term, c.returnKeys), hosts}
+	c.mu.Unlock()
+	_, err := c.Store.Commit(ctx, wire.Commit{
+		Guards: []wire.Guard{{Key: ledger.LeaderKey, Stamp: c.term}, {Key: rec.key}},
+		Apply:  []wire.Change{{Set: rec.key, Value: ledger.Encode(ledger.Returns{Hosts: hosts})}},
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil || errors.Is(err, store.ErrUnknown) {
+		c.returnsRecords = append(c.returnsRecords, rec) // to be dropped in the end
+	}
+	if err != nil {
+		slog.Warn("returns not recorded", "hosts", hosts, "err", err)
+		c.checkDeposed(err)
+		return false
+	}
+	for _, id := range hosts {
+		c.returns[id].recorded = true
+	}
+	return true
+}
+
+// sendReturns asks the cloud to take back what is recorded. It reports whether
+// the cloud did.
+func (c *Controller) sendReturns(ctx context.Context) bool {
+	c.mu.Lock()
+	var hosts []string
+	for id, r := range c.returns {
+		if r.recorded && r.goneAt.IsZero() {
+			hosts = append(hosts, id)
+		}
+	}
+	c.mu.Unlock()
+	if len(hosts) == 0 {
+		return false
+	}
+	slices.Sort(hosts)
+	hosts = hosts[:min(len(hosts), wire.MaxReturn)]
+	if err := c.Cloud.Return(ctx, hosts); err != nil {
+		slog.Warn("return failed", "hosts", hosts, "err", err)
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	for _, id := range hosts {
+		c.returns[id].goneAt = now
+		c.fleet.Confirm(c.fleet.Get(id), now, "returned")
+	}
+	return true
+}
+
+// forgetReturned drops the records of machines that are gone for long enough
+// that no list shows them, those of their images first.
+func (c *Controller) forgetReturned(ctx context.Context) {
+	keep := 6*c.Config.ListLag() + 3*c.Config.Lease()
+	ops := max(4, c.batchOps()/3)
+	c.mu.Lock()
+	now := c.now()
+	over := func(id string) bool {
+		r := c.returns[id]
+		return r == nil || !r.goneAt.IsZero() && now.Sub(r.goneAt) > keep
+	}
+	tx := wire.Commit{Guards: []wire.Guard{{Key: ledger.LeaderKey, Stamp: c.term}}}
+	var plain, done []string // machines whose images, and records, this drops
+	for _, rec := range c.returnsRecords {
+		if slices.ContainsFunc(rec.hosts, func(id string) bool { return !over(id) }) {
+			continue
+		}
+		left := false
+		for _, id := range rec.hosts {
+			if c.noted[id].images == 0 {
+				continue
+			}
+			if left = len(tx.Apply) >= ops; left {
+				break
+			}
+			tx.Apply = append(tx.Apply, wire.Change{Drop: ledger.ImagesKey(id)})
+			plain = append(plain, id)
+		}
+		if left || len(tx.Apply) >= ops {
+			break
+		}
+		tx.Apply = append(tx.Apply, wire.Change{Drop: rec.key})
+		done = append(done, rec.key)
+	}
+	c.mu.Unlock()
+	if len(tx.Apply) == 0 {
+		return
+	}
+	if _, err := c.Store.Commit(store.Note(ctx), tx); err != nil {
+		slog.Debug("returned machines not forgotten", "err", err)
+		c.checkDeposed(err)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range plain {
+		delete(c.noted, id)
+	}
+	c.returnsRecords = slices.DeleteFunc(c.returnsRecords, func(rec returnsRecord) bool {
+		if !slices.Contains(done, rec.key) {
+			return false
+		}
+		for _, id := range rec.hosts {
+			delete(c.returns, id)
+			c.fleet.Forget(id)
+		}
+		return true
+	})
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -6,7 +6,7 @@
 //	j/<uid>       an accepted job that is not archived yet
 //	p/<uid>/<n>   piece n of a job's placement
 //	f/<uid>       the final status of an archived job, kept for ever
-//	h/<host>      a machine whose return has been attempted
+//	r/<term>-<n>  machines whose return has been attempted
 //	i/<host>      the images a machine has, as far as was seen
 //	k/<node>      machines whose leases a node keeps, cut off from the leader
 //	o/settings    the operators' own settings
@@ -29,7 +29,7 @@
 	JobPrefix      = "j/"
 	PiecePrefix    = "p/"
 	FinalPrefix    = "f/"
-	HostPrefix     = "h/"
+	ReturnsPrefix  = "r/"
 	ImagesPrefix   = "i/"
 	KeptPrefix     = "k/"
 	SettingsPrefix = "o/"
@@ -50,9 +50,9 @@
 // Final is the last word on a job.
 type Final struct{ Status wire.JobStatus }
 
-// Host marks a machine that may be gone at any time: it is never used again
-// and its return is repeated until the cloud confirms it.
-type Host struct{ Returning bool }
+// Returns lists machines that may be gone at any time: they are never used again
+// and their return is repeated until the cloud confirms it.
+type Returns struct{ Hosts []string }
 
 // Images lists images that were seen on a machine. It only guides placement.
 type Images struct{ Names []string }
@@ -84,15 +84,23 @@
 // LegsPerPiece is how many tasks go into one piece so that it fits a value.
 func LegsPerPiece(valueBytes int) int { return max(1, valueBytes/placedBytes) }
 
+// FitHosts is as many of the names as a value of the given size holds.
+func FitHosts(hosts []string, valueBytes int) []string {
+	size := len(`{"Hosts":[]}`)
+	for i, h := range hosts {
+		if size += len(Encode(h)) + 1; size > valueBytes && i > 0 {
+			return hosts[:i]
+		}
+	}
+	return hosts
+}
+
 // JobKey is the key of a job.
 func JobKey(uid string) string { return JobPrefix + uid }
 
 // FinalKey is the key of a job's final status.
 func FinalKey(uid string) string { return FinalPrefix + uid }
 
-// HostKey is the key of a machine's record.
-func HostKey(host string) string { return HostPrefix + host }
-
 // ImagesKey is the key of a machine's images.
 func ImagesKey(host string) string { return ImagesPrefix + host }
 
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -98,7 +98,7 @@
 		_, own := guarded[key]
 		switch {
 		case strings.HasPrefix(key, ledger.PiecePrefix) && (guarded[ledger.LeaderKey] == 0 || !own),
-			strings.HasPrefix(key, ledger.HostPrefix) && guarded[ledger.LeaderKey] == 0,
+			strings.HasPrefix(key, ledger.ReturnsPrefix) && guarded[ledger.LeaderKey] == 0,
 			strings.HasPrefix(key, ledger.JobPrefix) && !own:
 			w.rule("unguarded", "%s is written with guards %v", key, tx.Guards)
 		}
@@ -112,6 +112,19 @@
 	}
 }
 
+// judgeReturn checks that it was recorded before that a machine is returned.
+func (w *World) judgeReturn(wk *Worker) {
+	if wk.gone() >= 0 {
+		return // a repeat
+	}
+	for _, key := range w.State.Keys(ledger.ReturnsPrefix) {
+		if item, ok := w.State.Get(key); ok && bytes.Contains(item.Value, []byte(`"`+wk.Host+`"`)) {
+			return
+		}
+	}
+	w.rule("unrecorded", "%s is returned without a record", wk.Host)
+}
+
 // judgeReap checks that an end was recorded before the task is forgotten. What
 // is withdrawn is never launched again and needs no such record.
 func (w *World) judgeReap(name string, try uint64, host string) {
@@ -238,6 +251,7 @@
 			wk := w.workers[h]
 			w.mu.Unlock()
 			if wk != nil {
+				w.judgeReturn(wk)
 				wk.Die()
 			}
 		}
