Up to half of a zone counts as lost after three intervals; a reached zone is not cut

Also found in reading: over half of a zone that had died would have been down for six leases. A leader that stood still gives every machine its time again.

--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -152,7 +152,7 @@
 func (n *Node) leadTerm(ctx context.Context, term uint64) {
 	c := controller.New(controller.Deps{Config: n.cfg, Store: n.store, Cloud: n.cloud, Worker: n, Mirror: n.mirror,
 		Settings: func() wire.Settings { return *n.settings.Load() }, Rounded: n.rounded,
-		Saw: func(t uint64) { n.elector.Saw(t, "") }, Heard: n.heard}, term)
+		Saw: func(t uint64) { n.elector.Saw(t, "") }, Heard: n.heard, Reached: n.reached}, term)
 	n.lead.Store(c)
 	defer n.lead.Store(nil)
 	c.Run(ctx)
@@ -320,6 +320,17 @@
 	return ids
 }
 
+// reached is the zones of the controllers that answer, this one's own included.
+func (n *Node) reached() []string {
+	zones := []string{n.cfg.Location}
+	for _, p := range n.peers {
+		if _, ok := p.Last(n.cfg.HoldTTL()); ok {
+			zones = append(zones, p.Location)
+		}
+	}
+	return zones
+}
+
 // Announce tells a worker a token by an empty direct command.
 func (n *Node) Announce(ctx context.Context, address string, baton, shift uint64) (wire.Report, error) {
 	body, err := json.Marshal(wire.Direct{Baton: baton, Shift: shift, Orders: []wire.Order{}})
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -53,6 +53,7 @@
 	Settings func() wire.Settings
 	Saw      func(term uint64)   // a newer term was seen
 	Heard    func() []string     // machines that peers answer
+	Reached  func() []string     // zones of the controllers that are reached, this one included
 	Rounded  func(time.Duration) // a round took this long
 }
 
@@ -61,7 +62,8 @@
 	Deps
 	term uint64
 	wake chan struct{} // the writer has work
-	news chan struct{} // a job came
+	news chan struct{} // there is something to place
+	back chan struct{} // there is something to return
 	now  func() time.Time
 
 	mu             sync.Mutex
@@ -91,7 +93,7 @@
 
 // New makes the controller of a term.
 func New(d Deps, term uint64) *Controller {
-	c := &Controller{Deps: d, term: term, wake: make(chan struct{}, 1), news: make(chan struct{}, 1), now: time.Now,
+	c := &Controller{Deps: d, term: term, wake: make(chan struct{}, 1), news: make(chan struct{}, 1), back: make(chan struct{}, 1), now: time.Now,
 		jobs: map[string]*job{}, pending: map[string]*rental{}, refused: map[provision.Group]refusal{},
 		arrive: map[string]*arrivals{}, cutOff: map[string]time.Time{}, noted: map[string]imageNote{}, told: map[string]time.Time{}, held: map[string]chan struct{}{}}
 	c.fleet = fleet.New(term, d.Config.Lease(), c)
@@ -259,10 +261,7 @@
 		c.jobs[uid] = newJob(uid, e, now)
 		slog.Info("job", "uid", uid, "berth", e.Job.Spec.Berth, "legs", e.Job.Spec.Legs, "gpus", e.Job.Spec.Gpus, "image", e.Job.Spec.Rollout, "status", string(e.Job.Status))
 		c.arrived(c.jobs[uid], now)
-		select {
-		case c.news <- struct{}{}:
-		default:
-		}
+		notify(c.news)
 	case e.Stamp > j.stamp:
 		wasFinal := j.rec.Status.Final()
 		j.rec, j.stamp = e.Job, e.Stamp
@@ -286,9 +285,12 @@
 	}
 }
 
-func (c *Controller) poke() {
+func (c *Controller) poke() { notify(c.wake) }
+
+// notify wakes whoever waits on ch, now or next.
+func notify(ch chan struct{}) {
 	select {
-	case c.wake <- struct{}{}:
+	case ch <- struct{}{}:
 	default:
 	}
 }
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -185,28 +185,52 @@
 	})
 }
 
-// condemn decides which machines to return because they are lost.
-func (c *Controller) condemn(now time.Time) {
-	// Many machines of a zone that fall silent together are cut off rather
-	// than lost: what they run may go on, and they will be back.
-	every, lease := c.Config.ReportEvery(), c.Config.Lease()
-	// What counts is who reports here: machines that a follower answers are behind
-	// the same cut as those that still look for a node.
-	total, quiet, hushed := map[string]int{}, map[string]int{}, map[string]int{}
+// excuse gives every machine the time again that it has to report: a leader
+// that stood still does not know who reported meanwhile.
+func (c *Controller) excuse(now time.Time) {
+	slog.Warn("stood still", "term", c.term, "for", now.Sub(c.lastAt).String())
+	c.steady = now
+	c.fleet.Each(func(m *fleet.Machine) { m.Heard, m.Reported = now, now })
+}
+
+// silence is how many machines of a zone are silent.
+type silence struct {
+	total  int
+	quiet  int // for over three intervals of reports
+	hushed int // for over two
+}
+
+// silences counts who reports here: machines that a follower answers are behind
+// the same cut as those that still look for a node.
+func (c *Controller) silences(now time.Time) map[string]silence {
+	every := c.Config.ReportEvery()
+	zones := map[string]silence{}
 	c.fleet.Each(func(m *fleet.Machine) {
 		if m.State == fleet.Returning || m.State == fleet.Gone || m.State == fleet.Booting && m.LiveCount() == 0 {
 			return
 		}
-		total[m.Yard]++
+		z := zones[m.Yard]
+		z.total++
 		if silent := now.Sub(m.Reported); silent > 3*every {
-			quiet[m.Yard]++
-			hushed[m.Yard]++
+			z.quiet++
+			z.hushed++
 		} else if silent > 2*every {
-			hushed[m.Yard]++
+			z.hushed++
 		}
+		zones[m.Yard] = z
 	})
-	for yard, n := range quiet {
-		if n > 2 && 2*n > total[yard] {
+	return zones
+}
+
+// condemn decides which machines to return because they are lost.
+func (c *Controller) condemn(now time.Time) {
+	every, lease := c.Config.ReportEvery(), c.Config.Lease()
+	zones, reached := c.silences(now), c.Reached()
+	// Most machines of a zone that fall silent together are cut off rather than
+	// lost, if no controller there is reached either: what they run may go on,
+	// and they will be back. Where a controller is reached, they are lost.
+	for yard, z := range zones {
+		if z.quiet > 2 && 2*z.quiet > z.total && !slices.Contains(reached, yard) {
 			c.cutOff[yard] = now
 		}
 	}
@@ -218,19 +242,27 @@
 	}
 	// The first machines behind a cut are quiet for three intervals while the
 	// last ones have just missed a report: counting only the quiet ones, a
-	// leader returned 17 of 90 before it saw that there was a cut.
-	few := func(m *fleet.Machine) bool { return !cutOff(m) && hushed[m.Yard] <= max(1, total[m.Yard]/8) }
+	// leader returned 17 of 90 before it saw that there was a cut. Up to half of
+	// a zone counts as lost: if it is their network that failed, their leases
+	// end anyway, and what they ran is down for as long later instead.
+	lost := func(m *fleet.Machine) bool {
+		z := zones[m.Yard]
+		return !cutOff(m) && z.hushed <= max(1, z.total/2)
+	}
+	// Behind a cut, a node without the state service stops renewing leases in
+	// time for withdrawn tasks to die: after this, nothing there runs on.
+	over := time.Duration(c.Config.Cluster.Workers.CancelS * float64(time.Second))
 	settled := now.Sub(c.steady) > 2*lease
 	c.fleet.Each(func(m *fleet.Machine) {
 		switch {
 		case m.State == fleet.Returning || m.State == fleet.Gone:
 		case m.Failed:
 			c.giveUp(m, now, "failed")
-		case m.State == fleet.Silent && (!cutOff(m) || now.Sub(m.Heard) > 6*lease):
+		case m.State == fleet.Silent && (!cutOff(m) || now.Sub(m.Heard) > over):
 			c.giveUp(m, now, "silent")
-		case few(m) && (m.State == fleet.Ready && now.Sub(c.steady) > lease && now.Sub(m.Heard) > 3*every ||
+		case lost(m) && (m.State == fleet.Ready && now.Sub(c.steady) > lease && now.Sub(m.Heard) > 3*every ||
 			m.State == fleet.Booting && m.LiveCount() > 0 && now.Sub(m.Heard) > max(5*every, lease*3/4)):
-			// A few machines fall silent while all others go on: they have
+			// Some machines fall silent while the others go on: they have
 			// stopped, hang or are cut off, and by the time they come back
 			// their leases have ended. Waiting would only cost time. Those that
 			// a new leader has not heard yet may still be looking for it, and
--- a/internal/controller/machines_test.go
+++ b/internal/controller/machines_test.go
@@ -16,8 +16,9 @@
 // second, and a clock that the test moves.
 func watched(now *time.Time) *Controller {
 	cfg := &config.Config{}
-	cfg.Cluster.Workers.ReportS, cfg.Cluster.Workers.LeaseS, cfg.Cluster.Cloud.Rps = 1, 10, 6
-	c := New(Deps{Config: cfg, Mirror: ledger.NewMirror(), Settings: func() wire.Settings { return ledger.DefaultSettings(1) }}, 5)
+	cfg.Cluster.Workers.ReportS, cfg.Cluster.Workers.LeaseS, cfg.Cluster.Workers.CancelS, cfg.Cluster.Cloud.Rps = 1, 10, 40, 6
+	c := New(Deps{Config: cfg, Mirror: ledger.NewMirror(), Settings: func() wire.Settings { return ledger.DefaultSettings(1) },
+		Reached: func() []string { return []string{"a"} }}, 5)
 	c.now = func() time.Time { return *now }
 	c.loaded, c.steady = true, now.Add(-time.Hour)
 	return c
@@ -33,9 +34,11 @@
 
 // A cut between zones silences machines one after the other, as their reports
 // come due, and a follower answers some of them soon. None is given up before
-// six leases: counting only those that were quiet for three intervals, and
+// nothing can run there any more: counting only those that were quiet for three intervals, and
 // taking those that a follower answers for well, a leader returned 38 of 90.
-// A few that stop while all others report are given up after three intervals.
+// Up to half of a zone that stop while the others report are given up after three
+// intervals, and more than that after a lease if a controller there is reached:
+// two thirds of a zone that had died were down for six leases.
 func TestWhoIsGivenUp(t *testing.T) {
 	const machines, step = 180, 50 * time.Millisecond
 	for _, tc := range []struct {
@@ -47,6 +50,9 @@
 	}{
 		{"cut", func(i int) bool { return i%2 == 1 }, func(i int) bool { return i%4 == 1 }, 30 * time.Second, 0},
 		{"few", func(i int) bool { return i < 9 }, func(int) bool { return false }, 4500 * time.Millisecond, 9},
+		{"many", func(i int) bool { return i%3 == 0 }, func(int) bool { return false }, 4500 * time.Millisecond, 60},
+		{"most of a zone that is reached", func(i int) bool { return i%2 == 0 && i > 20 }, func(int) bool { return false }, 11500 * time.Millisecond, 79},
+		{"a zone that nothing keeps", func(i int) bool { return i%2 == 1 }, func(int) bool { return false }, 45 * time.Second, 90},
 	} {
 		now := time.Unix(1000, 0)
 		c := watched(&now)
--- a/internal/controller/returns.go
+++ b/internal/controller/returns.go
@@ -31,6 +31,7 @@
 	c.fleet.Return(m, now, why)
 	if c.returns[m.ID] == nil {
 		c.returns[m.ID] = &giveBack{}
+		notify(c.back)
 	}
 }
 
@@ -38,7 +39,13 @@
 // cloud confirms; the record goes once no list shows its machines any more.
 func (c *Controller) returning(ctx context.Context) {
 	pause := c.Config.ReportEvery() / 3
-	for sleep(ctx, pause) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.back:
+		case <-time.After(pause):
+		}
 		for c.recordReturns(ctx) {
 		}
 		for c.sendReturns(ctx) {
@@ -117,6 +124,7 @@
 		c.returns[id].goneAt = now
 		c.fleet.Confirm(c.fleet.Get(id), now, "returned")
 	}
+	notify(c.news) // what they ran can be placed
 	return true
 }
 
--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -40,18 +40,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
+	if !c.lastAt.IsZero() && now.Sub(c.lastAt) > max(interval, c.Config.ReportEvery())*2 {
+		c.excuse(now)
+	}
 	c.hear(now)
 	c.fleet.Silence(now)
 	c.condemn(now)
 	if c.cat == nil {
 		return nil
 	}
+	c.lastAt = now
 	in, machines, victims := c.input(now, interval)
 	plan := sched.Run(in)
 	info := wire.RoundStatus{Waiting: len(in.Jobs), Objective: plan.Objective, Reserved: plan.Reserved, Short: len(plan.Shorts)}
 	took := c.now().Sub(now)
 	info.TookMs = float64(took.Microseconds()) / 1000
-	c.lastAt = now
 	c.Rounded(took)
 	most := c.Settings().Window
 	switch {
