--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -298,7 +298,8 @@
 // CheckIn answers a worker's report. ok is false if the report shows that this
 // term is over. With hold set, an answer that has nothing to order waits a
 // part of a report's interval for something: launches and stops then travel at
-// once instead of with the next report. The lease runs from when the report
+// once instead of with the next report. Without it, another node relays the
+// report and cannot wait. The lease runs from when the report
 // was sent, so the wait costs it nothing.
 func (c *Controller) CheckIn(ctx context.Context, r *wire.Report, hold bool) (o wire.Orders, ok bool) {
 	if r.Baton > c.term {
@@ -317,6 +318,9 @@
 		return o, true
 	}
 	c.capacity(m)
+	if !hold {
+		m.Relayed = c.now()
+	}
 	if o.Orders = c.fleet.Orders(m, c.now(), true); len(o.Orders) > 0 || !hold || m.State != fleet.Ready {
 		return o, true
 	}
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -200,6 +200,23 @@
 	hushed int // for over two
 }
 
+// relayed reports whether so many machines report by way of other nodes that
+// this node's own links to the workers may have failed. Those that did not find
+// another node yet are then not lost: each that they try in vain costs them
+// several intervals.
+func (c *Controller) relayed(now time.Time) bool {
+	n, total := 0, 0
+	c.fleet.Each(func(m *fleet.Machine) {
+		if m.State != fleet.Gone {
+			total++
+		}
+		if !m.Relayed.IsZero() && now.Sub(m.Relayed) < c.Config.Lease() {
+			n++
+		}
+	})
+	return n > max(1, total/16)
+}
+
 // silences counts who reports here: machines that a follower answers are behind
 // the same cut as those that still look for a node.
 func (c *Controller) silences(now time.Time) map[string]silence {
@@ -244,10 +261,16 @@
 	// last ones have just missed a report: counting only the quiet ones, a
 	// leader returned 17 of 90 before it saw that there was a cut. Up to half of
 	// a zone counts as lost: if it is their network that failed, their leases
-	// end anyway, and what they ran is down for as long later instead.
+	// end anyway, and what they ran is down for as long later instead. Only if
+	// it may be this node's own links, no more than an eighth does: a leader
+	// that had lost the workers returned 150 of 330 on their way to its peers.
+	part := 2
+	if c.relayed(now) {
+		part = 8
+	}
 	lost := func(m *fleet.Machine) bool {
 		z := zones[m.Yard]
-		return !cutOff(m) && z.hushed <= max(1, z.total/2)
+		return !cutOff(m) && z.hushed <= max(1, z.total/part)
 	}
 	// Behind a cut, a node without the state service stops renewing leases in
 	// time for withdrawn tasks to die: after this, nothing there runs on.
--- a/internal/controller/machines_test.go
+++ b/internal/controller/machines_test.go
@@ -45,14 +45,16 @@
 		name   string
 		silent func(i int) bool
 		kept   func(i int) bool // by a follower, from five seconds on
+		relays bool             // the follower relays their reports
 		after  time.Duration
 		want   int
 	}{
-		{"cut", func(i int) bool { return i%2 == 1 }, func(i int) bool { return i%4 == 1 }, 30 * time.Second, 0},
-		{"few", func(i int) bool { return i < 9 }, func(int) bool { return false }, 4500 * time.Millisecond, 9},
-		{"many", func(i int) bool { return i%3 == 0 }, func(int) bool { return false }, 4500 * time.Millisecond, 60},
-		{"most of a zone that is reached", func(i int) bool { return i%2 == 0 && i > 20 }, func(int) bool { return false }, 11500 * time.Millisecond, 79},
-		{"a zone that nothing keeps", func(i int) bool { return i%2 == 1 }, func(int) bool { return false }, 45 * time.Second, 90},
+		{"cut", func(i int) bool { return i%2 == 1 }, func(i int) bool { return i%4 == 1 }, false, 30 * time.Second, 0},
+		{"few", func(i int) bool { return i < 9 }, func(int) bool { return false }, false, 4500 * time.Millisecond, 9},
+		{"many", func(i int) bool { return i%3 == 0 }, func(int) bool { return false }, false, 4500 * time.Millisecond, 60},
+		{"most of a zone that is reached", func(i int) bool { return i%2 == 0 && i > 20 }, func(int) bool { return false }, false, 11500 * time.Millisecond, 79},
+		{"links of the leader", func(int) bool { return true }, func(i int) bool { return i%3 > 0 }, true, 8 * time.Second, 0},
+		{"a zone that nothing keeps", func(i int) bool { return i%2 == 1 }, func(int) bool { return false }, false, 45 * time.Second, 90},
 	} {
 		now := time.Unix(1000, 0)
 		c := watched(&now)
@@ -64,6 +66,9 @@
 				switch {
 				case due && (at < 10*time.Second || !tc.silent(i)):
 					c.hearFrom(i, tick, now)
+				case due && at > 15*time.Second && tc.kept(i) && tc.relays:
+					c.hearFrom(i, tick, now)
+					c.fleet.Get(fmt.Sprintf("m-%03d", i)).Relayed = now
 				case due && at > 15*time.Second && tc.kept(i):
 					c.fleet.Get(fmt.Sprintf("m-%03d", i)).Heard = now
 				}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -128,6 +128,7 @@
 	Tick     uint64
 	Heard    time.Time // last report, here or at another node
 	Reported time.Time // last report here
+	Relayed  time.Time // last report that another node relayed here
 	Since    time.Time // of the last change of state
 	Born     time.Time // when it was first known
 	Listed   bool
