--- a/internal/controller/machines_test.go
+++ b/internal/controller/machines_test.go
@@ -9,6 +9,7 @@
 	"lotusstile.dev/lotusstile/internal/config"
 	"lotusstile.dev/lotusstile/internal/fleet"
 	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/provision"
 	"lotusstile.dev/lotusstile/wire"
 )
 
@@ -89,3 +90,28 @@
 		}
 	}
 }
+
+// While the cloud has no spot machine for a job, it does not wait for one; from
+// time to time the cloud is asked again.
+func TestSpotSpent(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := watched(&now)
+	c.cat = &wire.Catalog{Rigs: []wire.Rig{{Sku: "g8", Cores: 64, Gpus: 8, RamGb: 512, Yards: []string{"a", "b"}}, {Sku: "g1", Cores: 8, Gpus: 1, RamGb: 32, Yards: []string{"a"}}}}
+	w := &wire.Work{Cores: 16, Gpus: 2, RamGb: 64, Standby: true}
+	spent := func(want bool, when string) {
+		if got := c.spotSpent(w, now); got != want {
+			t.Errorf("%s: spent is %v", when, got)
+		}
+	}
+	spent(false, "before anything was asked")
+	c.refuse(provision.Group{Rig: "g8", Yard: "a", Standby: true}, now)
+	spent(false, "one zone of two")
+	c.refuse(provision.Group{Rig: "g8", Yard: "b", Standby: true}, now)
+	spent(true, "both zones, and the small type does not hold it")
+	w.Rigs = []string{"g1"}
+	w.Cores, w.Gpus, w.RamGb = 8, 1, 32
+	spent(false, "a type that was not refused")
+	w.Rigs = []string{"g8"}
+	now = now.Add(4 * c.Config.Lease())
+	spent(false, "a while later")
+}
--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -179,6 +179,7 @@
 		sj.Fetch = sj.SlackS < 0 || j.lost > 0 && j.rec.Spec.Shape == wire.Standing
 		sj.LaxS = c.laxS(j, now)
 		sj.Avoid = c.avoids(j, now)
+		sj.Dear = sj.Spec.Standby && c.spotSpent(sj.Spec, now)
 		boot := c.bootS(&j.rec.Spec)
 		sj.Tired = sj.WaitedS > boot
 		sj.Overdue = sj.Tired || sj.LaxS < boot
@@ -250,6 +251,24 @@
 	return ""
 }
 
+// spotSpent reports whether the cloud had no spot machine left that may run the
+// job when it was last asked: work that waited for one was only late. From time
+// to time the refusals run out, and it is asked again.
+func (c *Controller) spotSpent(w *wire.Work, now time.Time) bool {
+	for i := range c.cat.Rigs {
+		r := &c.cat.Rigs[i]
+		if !provision.Cap(r).Holds(fleet.Need(w)) {
+			continue
+		}
+		for _, yard := range r.Yards {
+			if sched.Allowed(w, r.Sku, yard, true) && !now.Before(c.refused[provision.Group{Rig: r.Sku, Yard: yard, Standby: true}].until) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // price is what a machine costs per hour.
 func (c *Controller) price(sku string, standby bool) float64 {
 	r := c.rig(sku)
--- a/internal/provision/provision.go
+++ b/internal/provision/provision.go
@@ -130,7 +130,7 @@
 				if !sched.Allowed(j.Spec, r.Sku, y, standby) || refused(g) {
 					continue
 				}
-				if j.Spec.Standby && !standby && !j.Tired {
+				if j.Spec.Standby && !standby && !j.Tired && !j.Dear {
 					continue // spot machines are many times cheaper: worth a wait
 				}
 				price := r.Hourly
--- a/internal/sched/index.go
+++ b/internal/sched/index.go
@@ -92,6 +92,7 @@
 	rigs, yard     string
 	standby        bool
 	overdue, tired bool
+	dear           bool
 	image          string // if only nodes that have it will do
 }
 
@@ -101,7 +102,7 @@
 	if s.Together || s.Scatter || j.Avoid != "" {
 		return b, false
 	}
-	b = bound{layer: l, need: fleet.Need(s), rigs: strings.Join(s.Rigs, " "), yard: s.Yard, standby: s.Standby, overdue: j.Overdue, tired: j.Tired}
+	b = bound{layer: l, need: fleet.Need(s), rigs: strings.Join(s.Rigs, " "), yard: s.Yard, standby: s.Standby, overdue: j.Overdue, tired: j.Tired, dear: j.Dear}
 	if r.warm {
 		b.image = s.Rollout
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -63,6 +63,7 @@
 	LaxS    float64 // how long it can still wait and be in time
 	Overdue bool    // could not wait for a new machine: dearer ones that stay anyway will do
 	Tired   bool    // waited as long as a new machine takes: any machine will do
+	Dear    bool    // no cheaper machine can be had: waiting for one is in vain
 	Avoid   string  // a machine that it is not placed on
 }
 
@@ -338,7 +339,7 @@
 
 func (r *round) usable(j *Job, i int, yard string) bool {
 	n := &r.in.Nodes[i]
-	if !n.Standby && !n.Fixed && j.Spec.Standby && (!j.Overdue || n.Leaving && !j.Tired) || r.warm && (n.Cache == nil || !n.Cache.Has(j.Spec.Rollout)) {
+	if !n.Standby && !n.Fixed && j.Spec.Standby && !j.Dear && (!j.Overdue || n.Leaving && !j.Tired) || r.warm && (n.Cache == nil || !n.Cache.Has(j.Spec.Rollout)) {
 		return false
 	}
 	return !r.reserved[i] && (yard == "" || n.Yard == yard) &&
