--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -205,14 +205,19 @@
 					return
 				}
 				if j := c.jobs[a.Uid]; j != nil && j.level < top && (a.State == fleet.Running || a.State == fleet.Fetching) {
+					// A replica that has not run yet serves nobody: it can be
+					// displaced like batch, and loses what it has fetched.
+					serves := j.rec.Spec.Shape == wire.Standing && !a.RunAt.IsZero()
 					loss := 0.0
 					if !a.RunAt.IsZero() {
 						loss = now.Sub(a.RunAt).Seconds()
 						if mark := j.rec.Spec.MarkS; mark > 0 {
 							loss = min(loss, j.rec.Spec.StowS)
 						}
+					} else if j.rec.Spec.Shape == wire.Standing {
+						loss = now.Sub(a.Since).Seconds()
 					}
-					n.Victims = append(n.Victims, sched.Victim{ID: len(victims), Level: j.level, Need: a.Need, Loss: loss, Serve: j.rec.Spec.Shape == wire.Standing})
+					n.Victims = append(n.Victims, sched.Victim{ID: len(victims), Level: j.level, Need: a.Need, Loss: loss, Serve: serves})
 					victims = append(victims, a)
 				}
 			})
