Lists of kept machines are split to fit a value; announcements reach any silent machine

Found in reading: with over 700 machines kept by one follower the list was over 8 KiB and the commit refused, so the leader would have taken them for lost. Announcements went to the first 16 silent machines by name; with 124 cut off together it took minutes to reach one that answers. TestStoodStill: a leader that stood still gives up nobody on waking.

--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -287,9 +287,13 @@
 		if len(ids) == 0 || n.lead.Load() != nil || n.leader() != nil || !n.serving() {
 			continue
 		}
-		_, err := n.store.Commit(store.User(ctx, 0), wire.Commit{Apply: []wire.Change{{Set: ledger.KeptPrefix + n.cfg.Label, Value: ledger.Encode(ledger.Kept{Hosts: ids})}}})
-		if err != nil {
-			slog.Debug("kept machines not published", "err", err)
+		for i := 0; len(ids) > 0; i++ {
+			part := ledger.FitHosts(ids, n.cfg.ValueBytes())
+			ids = ids[len(part):]
+			key := fmt.Sprintf("%s%s/%d", ledger.KeptPrefix, n.cfg.Label, i)
+			if _, err := n.store.Commit(store.User(ctx, 0), wire.Commit{Apply: []wire.Change{{Set: key, Value: ledger.Encode(ledger.Kept{Hosts: part})}}}); err != nil {
+				slog.Debug("kept machines not published", "err", err)
+			}
 		}
 	}
 }
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -1,13 +1,13 @@
 package controller
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -356,11 +356,15 @@
 	}
 }
 
+// announceSlots is how many announcements are under way at a time. Each to a
+// machine that is gone or cut off holds one until it times out.
+const announceSlots = 16
+
 // announcing tells the token to workers that do not report: they may sit at a
 // deposed leader that still answers them.
 func (c *Controller) announcing(ctx context.Context) {
 	every := c.Config.ReportEvery()
-	slots := make(chan struct{}, 8)
+	slots := make(chan struct{}, announceSlots)
 	for sleep(ctx, every/2) {
 		var wg sync.WaitGroup
 		for _, t := range c.toAnnounce() {
@@ -399,13 +403,18 @@
 		if m.State == fleet.Booting && !m.Listed || now.Sub(c.told[m.ID]) < 3*every {
 			return
 		}
-		c.told[m.ID] = now
 		shift := m.Shift
 		m.Each(func(a *fleet.Attempt) { shift = max(shift, a.Shift) })
 		ts = append(ts, announcement{m.ID, m.Address, max(shift, 1)})
 	})
-	slices.SortFunc(ts, func(a, b announcement) int { return cmp.Compare(a.host, b.host) })
-	return ts[:min(len(ts), 16)]
+	// Any of them, for most may be gone together: one that answers is enough to
+	// end the term of a leader that is deposed and does not know.
+	rand.Shuffle(len(ts), func(i, k int) { ts[i], ts[k] = ts[k], ts[i] })
+	ts = ts[:min(len(ts), 2*announceSlots)]
+	for _, t := range ts {
+		c.told[t.host] = now
+	}
+	return ts
 }
 
 func (c *Controller) announce(ctx context.Context, t announcement) {
--- a/internal/controller/machines_test.go
+++ b/internal/controller/machines_test.go
@@ -115,3 +115,37 @@
 	now = now.Add(4 * c.Config.Lease())
 	spent(false, "a while later")
 }
+
+// A leader that stood still does not know who reported meanwhile: it gives up
+// nobody until they have had their time again.
+func TestStoodStill(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := watched(&now)
+	c.cat = &wire.Catalog{Rigs: []wire.Rig{{Sku: "g8", Cores: 64, Gpus: 8, RamGb: 512, Yards: []string{"a", "b"}}}}
+	c.Heard, c.Rounded = func() []string { return nil }, func(time.Duration) {}
+	lost := func() int {
+		n := 0
+		c.fleet.Each(func(m *fleet.Machine) {
+			if m.State == fleet.Returning {
+				n++
+			}
+		})
+		return n
+	}
+	for i := range 40 {
+		c.hearFrom(i, 1, now)
+	}
+	c.round(time.Second)
+	now = now.Add(25 * time.Second)
+	c.round(time.Second)
+	if n := lost(); n > 0 {
+		t.Errorf("%d machines are given up on waking", n)
+	}
+	for range 120 { // none of them reports now, either
+		now = now.Add(time.Second / 2)
+		c.round(time.Second)
+	}
+	if n := lost(); n != 40 {
+		t.Errorf("%d machines are given up after a minute, expected 40", n)
+	}
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -8,7 +8,7 @@
 //	f/<uid>       the final status of an archived job, kept for ever
 //	r/<term>-<n>  machines whose return has been attempted
 //	i/<host>      the images a machine has, as far as was seen
-//	k/<node>      machines whose leases a node keeps, cut off from the leader
+//	k/<node>/<n>  machines whose leases a node keeps, cut off from the leader
 //	o/settings    the operators' own settings
 package ledger
 
