--- a/internal/standin/grown_test.go
+++ b/internal/standin/grown_test.go
@@ -97,3 +97,51 @@
 		}
 	})
 }
+
+// The same at the size of the largest fleets, with all that may fail together:
+// a rush of hundreds of jobs, a third of the machines cut off, machines that hang
+// and die, and all controllers down at once with the state service.
+func TestLargeFleet(t *testing.T) {
+	quiet(t)
+	const machines = 1070
+	synctest.Test(t, func(t *testing.T) {
+		broken, started := grown(t, machines, 60*time.Second, func(d *day) {
+			time.Sleep(15 * time.Second)
+			for i := range machines / 3 {
+				host := fmt.Sprintf("m-%06d", 3*i)
+				for _, n := range labels {
+					d.net.Cut(host, n, true)
+				}
+				time.AfterFunc(25*time.Second, func() {
+					for _, n := range labels {
+						d.net.Cut(host, n, false)
+					}
+				})
+			}
+			for range 30 {
+				d.w.Worker().Hang(20 * time.Second)
+				d.w.Worker().Die()
+			}
+			time.Sleep(10 * time.Second)
+			d.w.State.SetDown(true)
+			for i := range labels {
+				d.crash(i)
+			}
+			time.Sleep(5 * time.Second)
+			d.w.State.SetDown(false)
+			for i := range labels {
+				d.start(i)
+				time.Sleep(300 * time.Millisecond)
+			}
+			d.crash(0) // in the middle of an election
+			time.Sleep(300 * time.Millisecond)
+			d.start(0)
+		})
+		if started < 3*machines {
+			t.Errorf("%d tasks were started", started)
+		}
+		if len(broken) > 0 {
+			t.Errorf("%d rules broken:\n%s", len(broken), strings.Join(broken[:min(5, len(broken))], "\n"))
+		}
+	})
+}
