--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -239,6 +239,10 @@
 	return zones
 }
 
+// workerTry is what a node that does not answer costs a worker, as the protocol
+// has it: it waits 4 s for the answer and tries the next node 1 s later.
+const workerTry = 5 * time.Second
+
 // condemn decides which machines to return because they are lost.
 func (c *Controller) condemn(now time.Time) {
 	every, lease := c.Config.ReportEvery(), c.Config.Lease()
@@ -275,6 +279,9 @@
 	// Behind a cut, a node without the state service stops renewing leases in
 	// time for withdrawn tasks to die: after this, nothing there runs on.
 	over := time.Duration(c.Config.Cluster.Workers.CancelS * float64(time.Second))
+	// How long a worker may look for a new leader: it learns with its next report
+	// that a node is gone, and each that does not answer costs it one try.
+	search := every*5/4 + time.Duration(max(1, len(c.Config.Members)+1-len(reached)))*workerTry
 	settled := now.Sub(c.steady) > 2*lease
 	c.fleet.Each(func(m *fleet.Machine) {
 		switch {
@@ -284,7 +291,7 @@
 		case m.State == fleet.Silent && (!cutOff(m) || now.Sub(m.Heard) > over):
 			c.giveUp(m, now, "silent")
 		case lost(m) && (m.State == fleet.Ready && now.Sub(c.steady) > lease && now.Sub(m.Heard) > 3*every ||
-			m.State == fleet.Booting && m.LiveCount() > 0 && now.Sub(m.Heard) > max(5*every, lease*3/4)):
+			m.State == fleet.Booting && m.LiveCount() > 0 && now.Sub(m.Heard) > search):
 			// Some machines fall silent while the others go on: they have
 			// stopped, hang or are cut off, and by the time they come back
 			// their leases have ended. Waiting would only cost time. Those that
