--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -142,7 +142,8 @@
 	c.fleet.Each(func(m *fleet.Machine) {
 		// Once listed, a machine stays listed until it is gone. A list may be
 		// old, but not older than a machine that was listed long ago.
-		if m.Listed && !seen[m.ID] && now.Sub(m.Born) > 4*c.Config.ListLag()+c.Config.Lease() && now.Sub(m.Heard) > 2*c.Config.ReportEvery() {
+		// The same goes for one that has been known for that long and never was.
+		if !seen[m.ID] && now.Sub(m.Born) > 4*c.Config.ListLag()+c.Config.Lease() && now.Sub(m.Heard) > 2*c.Config.ReportEvery() {
 			m.Failed = true
 		}
 		if ret := c.returns[m.ID]; ret != nil && m.State == fleet.Gone && seen[m.ID] {
@@ -217,8 +218,11 @@
 	return n > max(1, total/16)
 }
 
-// silences counts who reports here: machines that a follower answers are behind
-// the same cut as those that still look for a node.
+// silences counts by zone who reports here: machines that a follower answers are
+// behind the same cut as those that still look for a node. Under the empty name
+// it counts all: that is how machines are judged of which a new leader knows no
+// zone. They are no zone of their own: 62 spot machines that had been taken, and
+// would never be listed again, were held for one that was cut off.
 func (c *Controller) silences(now time.Time) map[string]silence {
 	every := c.Config.ReportEvery()
 	zones := map[string]silence{}
@@ -226,15 +230,18 @@
 		if m.State == fleet.Returning || m.State == fleet.Gone || m.State == fleet.Booting && m.LiveCount() == 0 {
 			return
 		}
-		z := zones[m.Yard]
-		z.total++
-		if silent := now.Sub(m.Reported); silent > 3*every {
-			z.quiet++
-			z.hushed++
-		} else if silent > 2*every {
-			z.hushed++
+		silent := now.Sub(m.Reported)
+		for _, yard := range slices.Compact([]string{"", m.Yard}) {
+			z := zones[yard]
+			z.total++
+			if silent > 3*every {
+				z.quiet++
+			}
+			if silent > 2*every {
+				z.hushed++
+			}
+			zones[yard] = z
 		}
-		zones[m.Yard] = z
 	})
 	return zones
 }
@@ -251,7 +258,7 @@
 	// lost, if no controller there is reached either: what they run may go on,
 	// and they will be back. Where a controller is reached, they are lost.
 	for yard, z := range zones {
-		if z.quiet > 2 && 2*z.quiet > z.total && !slices.Contains(reached, yard) {
+		if yard != "" && z.quiet > 2 && 2*z.quiet > z.total && !slices.Contains(reached, yard) {
 			c.cutOff[yard] = now
 		}
 	}
--- a/internal/controller/machines_test.go
+++ b/internal/controller/machines_test.go
@@ -149,3 +149,32 @@
 		t.Errorf("%d machines are given up after a minute, expected 40", n)
 	}
 }
+
+// A new leader knows no zone of machines that died before it began. They are
+// judged with the whole fleet, and not taken for a zone that is cut off.
+func TestMachinesOfUnknownZone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := watched(&now)
+	c.steady = now
+	for i := range 20 {
+		m := c.fleet.Know(fmt.Sprintf("x-%03d", i), now)
+		c.fleet.Place(m, &fleet.Attempt{Uid: "run-000001", Leg: i, Try: 1, Shift: 1, Inherited: true}, now)
+	}
+	for tick := uint64(1); tick <= 12; tick++ {
+		for i := range 100 {
+			c.hearFrom(i, tick, now)
+		}
+		c.fleet.Silence(now)
+		c.condemn(now)
+		now = now.Add(time.Second)
+	}
+	lost := 0
+	c.fleet.Each(func(m *fleet.Machine) {
+		if m.State == fleet.Returning {
+			lost++
+		}
+	})
+	if lost != 20 {
+		t.Errorf("%d machines are given up, expected 20", lost)
+	}
+}
