--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -350,14 +350,12 @@
 	}
 }
 
-// Silence marks machines that nobody has heard for longer than a lease. Those
-// that are only known to have tasks by the records get half as long again to
-// find the new leader.
+// Silence marks machines that nobody has heard for longer than a lease: those that
+// a new leader knows to have tasks by the records only had their last answer
+// before it began.
 func (f *Fleet) Silence(now time.Time) {
 	for _, m := range f.machines {
-		quiet := now.Sub(m.Heard)
-		if (m.State == Ready || m.State == Confirming) && quiet > f.lease ||
-			m.State == Booting && m.live > 0 && quiet > f.lease*3/2 {
+		if (m.State == Ready || m.State == Confirming || m.State == Booting && m.live > 0) && now.Sub(m.Heard) > f.lease {
 			f.set(m, Silent, now, "not heard")
 		}
 	}
