controller, api and sched are split by concern; no change of what they do

machines.go becomes rent, lost, returns, announce and images; round.go becomes round, picture and spare; api's users and workers have files of their own; input and choose are taken apart.

--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -2,11 +2,9 @@
 package api
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -277,111 +275,3 @@
 		time.Sleep(every)
 	}
 }
-
-// publishKept writes which machines this node answers while it cannot reach
-// the leader, where the leader can read it.
-func (n *Node) publishKept(ctx context.Context) {
-	for ctx.Err() == nil {
-		time.Sleep(n.cfg.Lease() / 5)
-		ids := n.keptLately()
-		if len(ids) == 0 || n.lead.Load() != nil || n.leader() != nil || !n.serving() {
-			continue
-		}
-		for i := 0; len(ids) > 0; i++ {
-			part := ledger.FitHosts(ids, n.cfg.ValueBytes())
-			ids = ids[len(part):]
-			key := fmt.Sprintf("%s%s/%d", ledger.KeptPrefix, n.cfg.Label, i)
-			if _, err := n.store.Commit(store.User(ctx, 0), wire.Commit{Apply: []wire.Change{{Set: key, Value: ledger.Encode(ledger.Kept{Hosts: part})}}}); err != nil {
-				slog.Debug("kept machines not published", "err", err)
-			}
-		}
-	}
-}
-
-func (n *Node) keptLately() []string {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	var ids []string
-	now := time.Now()
-	for id, at := range n.kept {
-		if now.Sub(at) < n.cfg.HoldTTL() {
-			ids = append(ids, id)
-		} else {
-			delete(n.kept, id)
-		}
-	}
-	return ids
-}
-
-// heard is which machines peers answer in the leader's place.
-func (n *Node) heard() []string {
-	var ids []string
-	for _, p := range n.peers {
-		if r, ok := p.Last(n.cfg.HoldTTL()); ok {
-			ids = append(ids, r.Heard...)
-		}
-	}
-	return ids
-}
-
-// reached is the zones of the controllers that answer, this one's own included.
-func (n *Node) reached() []string {
-	zones := []string{n.cfg.Location}
-	for _, p := range n.peers {
-		if _, ok := p.Last(n.cfg.HoldTTL()); ok {
-			zones = append(zones, p.Location)
-		}
-	}
-	return zones
-}
-
-// Announce tells a worker a token by an empty direct command.
-func (n *Node) Announce(ctx context.Context, address string, baton, shift uint64) (wire.Report, error) {
-	body, err := json.Marshal(wire.Direct{Baton: baton, Shift: shift, Orders: []wire.Order{}})
-	if err != nil {
-		return wire.Report{}, fmt.Errorf("encode: %w", err)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/do", bytes.NewReader(body))
-	if err != nil {
-		return wire.Report{}, fmt.Errorf("request: %w", err)
-	}
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := n.workers.Do(req)
-	if err != nil {
-		return wire.Report{}, fmt.Errorf("announce: %w", err)
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, 4*wire.MaxBody))
-	if err != nil {
-		return wire.Report{}, fmt.Errorf("announce: %w", err)
-	}
-	return wire.ParseReport(data)
-}
-
-// finals remembers final statuses for ever, or rather for as long as they fit:
-// they can be read again.
-type finals struct {
-	mu    sync.Mutex
-	known map[string]wire.JobStatus
-}
-
-const maxFinals = 20_000
-
-func (f *finals) get(uid string) (wire.JobStatus, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s, ok := f.known[uid]
-	return s, ok
-}
-
-func (f *finals) put(uid string, s wire.JobStatus) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if len(f.known) >= maxFinals {
-		for k := range f.known {
-			delete(f.known, k)
-			break
-		}
-	}
-	f.known[uid] = s
-}
--- /dev/null
+++ b/internal/api/users.go
@@ -0,0 +1,351 @@
+package api
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/peer"
+	"lotusstile.dev/lotusstile/internal/provision"
+	"lotusstile.dev/lotusstile/internal/store"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// user wraps what answers a user: if this node has lost the state service and
+// a peer has not, the request is passed on to the peer.
+func (n *Node) user(h echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		defer func() { n.count("user", c.Response().Status) }()
+		if !n.load.admit() {
+			return retryLater(c, "too much to do")
+		}
+		defer n.load.done()
+		body, err := readBody(c)
+		if err != nil {
+			return err
+		}
+		c.Set("body", body)
+		if n.serving() {
+			if err := h(c); !errors.Is(err, errElsewhere) {
+				return err
+			}
+		}
+		if c.Get("passed") == nil {
+			req := c.Request()
+			for _, p := range n.peers {
+				if r, ok := p.Last(n.cfg.HoldTTL()); !ok || !r.Serving {
+					continue
+				}
+				r, err := p.User(peer.UserArgs{Method: req.Method, Path: req.URL.Path, Body: body}, pollWait*2/3)
+				if err == nil && r.Status != 0 {
+					if r.RetryAfter != "" {
+						c.Response().Header().Set(echo.HeaderRetryAfter, r.RetryAfter)
+					}
+					return c.JSONBlob(r.Status, r.Body)
+				}
+			}
+		}
+		return retryLater(c, errElsewhere.Error())
+	}
+}
+
+// elsewhere reports whether a peer reaches the state service.
+func (n *Node) elsewhere() bool {
+	for _, p := range n.peers {
+		if r, ok := p.Last(n.cfg.HoldTTL()); ok && r.Serving {
+			return true
+		}
+	}
+	return false
+}
+
+// User answers a user's request that a peer passes on.
+func (n *Node) User(a peer.UserArgs) peer.UserReply {
+	w := &answer{header: http.Header{}}
+	req, err := http.NewRequest(a.Method, a.Path, bytes.NewReader(a.Body))
+	if err != nil {
+		return peer.UserReply{}
+	}
+	c := n.echo.NewContext(req, w)
+	n.echo.Router().Find(a.Method, a.Path, c)
+	c.Set("passed", true)
+	if err := c.Handler()(c); err != nil {
+		n.echo.HTTPErrorHandler(err, c)
+	}
+	return peer.UserReply{Status: w.status, RetryAfter: w.header.Get(echo.HeaderRetryAfter), Body: w.body.Bytes()}
+}
+
+// answer keeps an answer that goes back to a peer.
+type answer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header is the answer's header.
+func (a *answer) Header() http.Header { return a.header }
+
+// WriteHeader notes the status.
+func (a *answer) WriteHeader(status int) { a.status = status }
+
+// Write keeps a part of the body.
+func (a *answer) Write(p []byte) (int, error) { return a.body.Write(p) }
+
+// notNow answers a change that could not be recorded: at once with word when to
+// come back if the budget is spent, else by another node.
+func notNow(c echo.Context, err error) error {
+	var busy *store.BusyError
+	if errors.As(err, &busy) {
+		return retryAfter(c, busy.After, "too many changes at once")
+	}
+	return errElsewhere
+}
+
+// userContext bounds the work for a user who waits for at most limit.
+func userContext(c echo.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(store.User(c.Request().Context(), 0), limit)
+}
+
+const (
+	submitWait = 1250 * time.Millisecond // users wait 5 s for an answer to a submission
+	pollWait   = 1200 * time.Millisecond // and 2 s for one to a poll; a peer may still be asked
+)
+
+func (n *Node) submit(c echo.Context) error {
+	body, err := readBody(c)
+	if err != nil {
+		return err
+	}
+	w, err := wire.ParseWork(body)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	ctx, cancel := userContext(c, submitWait)
+	defer cancel()
+	cat := n.cat.Load()
+	why, never := "", false
+	if cat != nil {
+		why, never = n.refusal(cat, &w)
+	}
+	if cat == nil || never {
+		// A job that is known already is not refused.
+		view, known, err := n.lookup(ctx, w.Uid)
+		switch {
+		case err != nil:
+			return errElsewhere
+		case known:
+			return c.JSON(http.StatusOK, view)
+		case cat == nil:
+			return retryLater(c, "the machine types are not known yet")
+		}
+		return c.JSON(http.StatusUnprocessableEntity, wire.Fault{Error: why})
+	}
+	rec := ledger.Job{Spec: w, Status: wire.JobQueued, AtMs: time.Now().UnixMilli(), Per: ledger.LegsPerPiece(n.cfg.ValueBytes())}
+	value := ledger.Encode(rec)
+	if len(value) > n.cfg.ValueBytes() {
+		return echo.NewHTTPError(http.StatusBadRequest, "the description is too long")
+	}
+	// When many come at once, those of higher rank are taken first: each rank
+	// leaves a quarter of the budget to each rank above it.
+	leave := float64(wire.Critical.Level()-w.Rank.Level()) / float64(wire.Critical.Level())
+	_, err = n.store.Commit(store.User(ctx, leave), wire.Commit{
+		Guards: []wire.Guard{{Key: ledger.JobKey(w.Uid)}, {Key: ledger.FinalKey(w.Uid)}},
+		Apply:  []wire.Change{{Set: ledger.JobKey(w.Uid), Value: value}},
+	})
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
+		view, known, err := n.lookup(ctx, w.Uid)
+		if err != nil {
+			return errElsewhere
+		}
+		if !known {
+			return retryLater(c, "cannot decide yet")
+		}
+		return c.JSON(http.StatusOK, view)
+	}
+	if err != nil {
+		slog.Info("submission not recorded", "uid", w.Uid, "err", err)
+		return notNow(c, err)
+	}
+	return c.JSON(http.StatusCreated, wire.JobView{Uid: w.Uid, Status: wire.JobQueued})
+}
+
+// refusal tells why a job can never run.
+func (n *Node) refusal(cat *wire.Catalog, w *wire.Work) (string, bool) {
+	team, ok := n.cfg.Team(w.Crew)
+	if !ok {
+		return "unknown team", true
+	}
+	if !provision.Fits(cat, w) {
+		return "a task fits no machine type that the job allows", true
+	}
+	tasks := 1.0
+	if w.Shape != wire.Sweep {
+		tasks = float64(w.Legs)
+	}
+	if (team.CpusMax > 0 && tasks*w.Cores > team.CpusMax) || (team.GpusMax > 0 && tasks*w.Gpus > team.GpusMax) {
+		return "the job needs more than its team's limit", true
+	}
+	return "", false
+}
+
+// lookup reads how a job stands. A final status is cached for ever; any other
+// is as fresh as the read.
+func (n *Node) lookup(ctx context.Context, uid string) (wire.JobView, bool, error) {
+	view := wire.JobView{Uid: uid}
+	if s, ok := n.finals.get(uid); ok {
+		view.Status = s
+		return view, true, nil
+	}
+	item, found, err := n.store.Get(ctx, ledger.JobKey(uid))
+	if err != nil {
+		return view, false, err
+	}
+	if found {
+		var rec ledger.Job
+		if err := json.Unmarshal(item.Value, &rec); err != nil {
+			return view, false, err
+		}
+		view.Status = rec.Status
+		if rec.Status.Final() {
+			n.finals.put(uid, rec.Status)
+		} else {
+			n.counts(&view)
+		}
+		return view, true, nil
+	}
+	// Archiving writes the final status in the same commit that drops the
+	// record: a job without a record has one, or never was.
+	item, found, err = n.store.Get(ctx, ledger.FinalKey(uid))
+	if err != nil || !found {
+		return view, false, err
+	}
+	var rec ledger.Final
+	if err := json.Unmarshal(item.Value, &rec); err != nil {
+		return view, false, err
+	}
+	n.finals.put(uid, rec.Status)
+	view.Status = rec.Status
+	return view, true, nil
+}
+
+// counts adds how many tasks are done and running, as far as the leader tells.
+func (n *Node) counts(view *wire.JobView) {
+	if c := n.lead.Load(); c != nil {
+		view.Done, view.Running, _ = c.Counts(view.Uid)
+	} else if p := n.leader(); p != nil {
+		if r, err := p.Counts(view.Uid); err == nil {
+			view.Done, view.Running = r.Done, r.Running
+		}
+	}
+	if view.Running > 0 {
+		view.Status = wire.JobRunning
+	}
+}
+
+func (n *Node) poll(c echo.Context) error {
+	uid := c.Param("id")
+	if !wire.ValidUid(uid) {
+		return echo.NewHTTPError(http.StatusNotFound, "no such job")
+	}
+	ctx, cancel := userContext(c, pollWait)
+	defer cancel()
+	view, known, err := n.lookup(ctx, uid)
+	switch {
+	case err != nil:
+		return errElsewhere
+	case !known:
+		return echo.NewHTTPError(http.StatusNotFound, "no such job")
+	}
+	return c.JSON(http.StatusOK, view)
+}
+
+func (n *Node) withdraw(c echo.Context) error {
+	uid := c.Param("id")
+	if !wire.ValidUid(uid) {
+		return echo.NewHTTPError(http.StatusNotFound, "no such job")
+	}
+	ctx, cancel := userContext(c, submitWait)
+	defer cancel()
+	for ctx.Err() == nil {
+		if s, ok := n.finals.get(uid); ok {
+			return c.JSON(http.StatusOK, wire.JobView{Uid: uid, Status: s})
+		}
+		item, found, err := n.store.Get(ctx, ledger.JobKey(uid))
+		if err != nil {
+			return errElsewhere
+		}
+		if !found {
+			view, known, err := n.lookup(ctx, uid)
+			if err != nil {
+				return errElsewhere
+			}
+			if !known {
+				return echo.NewHTTPError(http.StatusNotFound, "no such job")
+			}
+			if view.Status.Final() {
+				return c.JSON(http.StatusOK, view)
+			}
+			continue
+		}
+		var rec ledger.Job
+		if err := json.Unmarshal(item.Value, &rec); err != nil {
+			return err
+		}
+		if rec.Status.Final() {
+			n.finals.put(uid, rec.Status)
+			continue
+		}
+		rec.Status = wire.JobAborted
+		_, err = n.store.Commit(ctx, wire.Commit{
+			Guards: []wire.Guard{{Key: item.Key, Stamp: item.Stamp}},
+			Apply:  []wire.Change{{Set: item.Key, Value: ledger.Encode(rec)}},
+		})
+		var conflict *store.ConflictError
+		switch {
+		case err == nil:
+			n.finals.put(uid, rec.Status)
+		case errors.As(err, &conflict):
+		default:
+			slog.Info("withdrawal not recorded", "uid", uid, "err", err)
+			return notNow(c, err)
+		}
+	}
+	return retryLater(c, "cannot be decided now")
+}
+
+// finals remembers final statuses for ever, or rather for as long as they fit:
+// they can be read again.
+type finals struct {
+	mu    sync.Mutex
+	known map[string]wire.JobStatus
+}
+
+const maxFinals = 20_000
+
+func (f *finals) get(uid string) (wire.JobStatus, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.known[uid]
+	return s, ok
+}
+
+func (f *finals) put(uid string, s wire.JobStatus) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.known) >= maxFinals {
+		for k := range f.known {
+			delete(f.known, k)
+			break
+		}
+	}
+	f.known[uid] = s
+}
--- /dev/null
+++ b/internal/controller/announce.go
@@ -0,0 +1,90 @@
+package controller
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"sync"
+
+	"lotusstile.dev/lotusstile/internal/fleet"
+)
+
+// announceSlots is how many announcements are under way at a time. Each to a
+// machine that is gone or cut off holds one until it times out.
+const announceSlots = 16
+
+// announcing tells the token to workers that do not report: they may sit at a
+// deposed leader that still answers them.
+func (c *Controller) announcing(ctx context.Context) {
+	every := c.Config.ReportEvery()
+	slots := make(chan struct{}, announceSlots)
+	for sleep(ctx, every/2) {
+		var wg sync.WaitGroup
+		for _, t := range c.toAnnounce() {
+			slots <- struct{}{}
+			wg.Add(1)
+			go func() {
+				defer func() { <-slots; wg.Done() }()
+				c.announce(ctx, t)
+			}()
+		}
+		wg.Wait()
+	}
+}
+
+type announcement struct {
+	host, address string
+	shift         uint64
+}
+
+func (c *Controller) toAnnounce() []announcement {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	every := c.Config.ReportEvery()
+	if now.Sub(c.begun) < 2*every {
+		return nil // most report by themselves
+	}
+	var ts []announcement
+	c.fleet.Each(func(m *fleet.Machine) {
+		if m.Address == "" || m.State == fleet.Gone || m.State == fleet.Returning {
+			return
+		}
+		if m.State == fleet.Ready && now.Sub(m.Heard) < 2*every {
+			return
+		}
+		if m.State == fleet.Booting && !m.Listed || now.Sub(c.told[m.ID]) < 3*every {
+			return
+		}
+		shift := m.Shift
+		m.Each(func(a *fleet.Attempt) { shift = max(shift, a.Shift) })
+		ts = append(ts, announcement{m.ID, m.Address, max(shift, 1)})
+	})
+	// Any of them, for most may be gone together: one that answers is enough to
+	// end the term of a leader that is deposed and does not know.
+	rand.Shuffle(len(ts), func(i, k int) { ts[i], ts[k] = ts[k], ts[i] })
+	ts = ts[:min(len(ts), 2*announceSlots)]
+	for _, t := range ts {
+		c.told[t.host] = now
+	}
+	return ts
+}
+
+func (c *Controller) announce(ctx context.Context, t announcement) {
+	r, err := c.Worker.Announce(ctx, t.address, c.term, t.shift)
+	if err != nil {
+		slog.Debug("token not announced", "host", t.host, "err", err)
+		return
+	}
+	if r.Baton > c.term {
+		c.Saw(r.Baton)
+		c.depose("a worker has seen a higher token")
+		return
+	}
+	if r.Baton < c.term && r.Shift != t.shift && strings.EqualFold(r.Host, t.host) {
+		if _, err := c.Worker.Announce(ctx, t.address, c.term, r.Shift); err != nil {
+			slog.Debug("token not announced", "host", t.host, "err", err)
+		}
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -18,6 +19,7 @@
 	"lotusstile.dev/lotusstile/internal/fleet"
 	"lotusstile.dev/lotusstile/internal/ledger"
 	"lotusstile.dev/lotusstile/internal/provision"
+	"lotusstile.dev/lotusstile/internal/store"
 	"lotusstile.dev/lotusstile/wire"
 )
 
@@ -529,3 +531,11 @@
 	}
 	return st
 }
+
+// checkDeposed ends the term if a commit failed because of the leader's key.
+func (c *Controller) checkDeposed(err error) {
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) && slices.Contains(conflict.Failed, ledger.LeaderKey) {
+		c.depose("the leader's key has changed")
+	}
+}
--- /dev/null
+++ b/internal/controller/lost.go
@@ -0,0 +1,187 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"slices"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// hear notes the machines that other nodes answer: they are not silent.
+func (c *Controller) hear(now time.Time) {
+	for _, id := range c.Heard() {
+		if m := c.fleet.Get(id); m != nil {
+			m.Heard = now
+		}
+	}
+}
+
+// hearKept listens to followers that are cut off from this node, but not from
+// the state service: the machines that they answer are alive. Without this,
+// every machine behind a cut between zones was returned with all it served.
+func (c *Controller) hearKept(ctx context.Context) {
+	hold, pause := c.Config.Lease(), c.Config.ReportEvery()
+	ledger.Follow(ctx, c.Store, ledger.KeptPrefix, hold, pause, func([]wire.Item, uint64) {}, func(n wire.News) {
+		var kept ledger.Kept
+		if n.Set == "" {
+			return
+		}
+		if err := json.Unmarshal(n.Value, &kept); err != nil {
+			slog.Warn("kept machines cannot be read", "key", n.Set, "err", err)
+			return
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		now := c.now()
+		for _, id := range kept.Hosts {
+			if m := c.fleet.Get(id); m != nil {
+				m.Heard = now
+			}
+		}
+	})
+}
+
+// excuse gives every machine the time again that it has to report: a leader
+// that stood still does not know who reported meanwhile.
+func (c *Controller) excuse(now time.Time) {
+	slog.Warn("stood still", "term", c.term, "for", now.Sub(c.lastAt).String())
+	c.steady = now
+	c.fleet.Each(func(m *fleet.Machine) { m.Heard, m.Reported = now, now })
+}
+
+// silence is how many machines of a zone are silent.
+type silence struct {
+	total  int
+	quiet  int // for over three intervals of reports
+	hushed int // for over two
+}
+
+// relayed reports whether so many machines report by way of other nodes that
+// this node's own links to the workers may have failed. Those that did not find
+// another node yet are then not lost: each that they try in vain costs them
+// several intervals.
+func (c *Controller) relayed(now time.Time) bool {
+	n, total := 0, 0
+	c.fleet.Each(func(m *fleet.Machine) {
+		if m.State != fleet.Gone {
+			total++
+		}
+		if !m.Relayed.IsZero() && now.Sub(m.Relayed) < c.Config.Lease() {
+			n++
+		}
+	})
+	return n > max(1, total/16)
+}
+
+// silences counts by zone who reports here: machines that a follower answers are
+// behind the same cut as those that still look for a node. Under the empty name
+// it counts all: that is how machines are judged of which a new leader knows no
+// zone. They are no zone of their own: 62 spot machines that had been taken, and
+// would never be listed again, were held for one that was cut off.
+func (c *Controller) silences(now time.Time) map[string]silence {
+	every := c.Config.ReportEvery()
+	zones := map[string]silence{}
+	c.fleet.Each(func(m *fleet.Machine) {
+		if m.State == fleet.Returning || m.State == fleet.Gone || m.State == fleet.Booting && m.LiveCount() == 0 {
+			return
+		}
+		silent := now.Sub(m.Reported)
+		for _, yard := range slices.Compact([]string{"", m.Yard}) {
+			z := zones[yard]
+			z.total++
+			if silent > 3*every {
+				z.quiet++
+			}
+			if silent > 2*every {
+				z.hushed++
+			}
+			zones[yard] = z
+		}
+	})
+	return zones
+}
+
+// workerTry is what a node that does not answer costs a worker, as the protocol
+// has it: it waits 4 s for the answer and tries the next node 1 s later.
+const workerTry = 5 * time.Second
+
+// condemn decides which machines to return because they are lost.
+func (c *Controller) condemn(now time.Time) {
+	every, lease := c.Config.ReportEvery(), c.Config.Lease()
+	zones, reached := c.silences(now), c.Reached()
+	// Most machines of a zone that fall silent together are cut off rather than
+	// lost, if no controller there is reached either: what they run may go on,
+	// and they will be back. Where a controller is reached, they are lost.
+	for yard, z := range zones {
+		if yard != "" && z.quiet > 2 && 2*z.quiet > z.total && !slices.Contains(reached, yard) {
+			c.cutOff[yard] = now
+		}
+	}
+	// When a cut ends, machines come back one after the other: the last ones
+	// must not be taken for lost because the others are back.
+	cutOff := func(m *fleet.Machine) bool {
+		at, ok := c.cutOff[m.Yard]
+		return ok && now.Sub(at) < lease
+	}
+	// The first machines behind a cut are quiet for three intervals while the
+	// last ones have just missed a report: counting only the quiet ones, a
+	// leader returned 17 of 90 before it saw that there was a cut. Up to half of
+	// a zone counts as lost: if it is their network that failed, their leases
+	// end anyway, and what they ran is down for as long later instead. Only if
+	// it may be this node's own links, no more than an eighth does: a leader
+	// that had lost the workers returned 150 of 330 on their way to its peers.
+	part := 2
+	if c.relayed(now) {
+		part = 8
+	}
+	lost := func(m *fleet.Machine) bool {
+		z := zones[m.Yard]
+		return !cutOff(m) && z.hushed <= max(1, z.total/part)
+	}
+	// Behind a cut, a node without the state service stops renewing leases in
+	// time for withdrawn tasks to die: after this, nothing there runs on.
+	over := time.Duration(c.Config.Cluster.Workers.CancelS * float64(time.Second))
+	// How long a worker may look for a new leader: it learns with its next report
+	// that a node is gone, and each that does not answer costs it one try.
+	search := every*5/4 + time.Duration(max(1, len(c.Config.Members)+1-len(reached)))*workerTry
+	settled := now.Sub(c.steady) > 2*lease
+	c.fleet.Each(func(m *fleet.Machine) {
+		switch {
+		case m.State == fleet.Returning || m.State == fleet.Gone:
+		case m.Failed:
+			c.giveUp(m, now, "failed")
+		case m.State == fleet.Silent && (!cutOff(m) || now.Sub(m.Heard) > over):
+			c.giveUp(m, now, "silent")
+		case lost(m) && (m.State == fleet.Ready && now.Sub(c.steady) > lease && now.Sub(m.Heard) > 3*every ||
+			m.State == fleet.Booting && m.LiveCount() > 0 && now.Sub(m.Heard) > search):
+			// Some machines fall silent while the others go on: they have
+			// stopped, hang or are cut off, and by the time they come back
+			// their leases have ended. Waiting would only cost time. Those that
+			// a new leader has not heard yet may still be looking for it, and
+			// get a little longer.
+			c.giveUp(m, now, "silent while others report")
+		case m.State == fleet.Booting && m.LiveCount() == 0:
+			boot := 60.0
+			if r := c.rig(m.Rig); r != nil {
+				boot = r.BootS
+			}
+			if now.Sub(m.Born).Seconds() > 3.5*boot && settled {
+				c.giveUp(m, now, "never came up")
+			}
+		case m.Warned && m.LiveCount() == 0 && m.State == fleet.Ready:
+			c.giveUp(m, now, "is being taken back")
+		}
+		if m.Warned {
+			m.Each(func(a *fleet.Attempt) {
+				if j := c.jobs[a.Uid]; j != nil && a.Live() && !a.Stopping {
+					c.stop(a, j.rec.Spec.StowS+c.Config.Cluster.Workers.ReportS, now, "spot notice")
+				}
+			})
+		}
+	})
+}
--- /dev/null
+++ b/internal/controller/picture.go
@@ -0,0 +1,257 @@
+package controller
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/internal/provision"
+	"lotusstile.dev/lotusstile/internal/sched"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// picture is what a round decides on, and what its handles stand for.
+type picture struct {
+	in       *sched.Input
+	machines []*fleet.Machine // by node; nil for a rental that is not answered yet
+	victims  []*fleet.Attempt // by victim
+}
+
+// picture makes the picture of a round.
+func (c *Controller) picture(now time.Time, interval time.Duration) *picture {
+	p := &picture{in: &sched.Input{Window: c.window, ReserveS: 10 * interval.Seconds(), Priorities: sched.DefaultPriorities, Teams: map[string]*sched.Team{}}}
+	for _, t := range c.Config.Cluster.Teams {
+		team := &sched.Team{}
+		team.Limit.Cores, team.Limit.Gpus = t.CpusMax, t.GpusMax
+		p.in.Teams[t.Name] = team
+	}
+	top := 0
+	for _, j := range c.jobs {
+		if t := p.in.Teams[j.rec.Spec.Crew]; t != nil {
+			t.Used.Cores += float64(j.live) * j.need.Cores
+			t.Used.Gpus += float64(j.live) * j.need.Gpus
+		}
+		if sj := c.waitingJob(j, now); sj != nil {
+			top = max(top, j.level)
+			p.in.Jobs = append(p.in.Jobs, sj)
+		}
+	}
+	c.fleet.Each(func(m *fleet.Machine) { c.addNode(p, m, top, now) })
+	for _, r := range c.pending {
+		room := provision.Cap(c.rig(r.req.Rig))
+		for range r.req.HowMany {
+			p.in.Nodes = append(p.in.Nodes, sched.Node{ID: r.req.Booking, Rig: r.req.Rig, Yard: r.req.Yard, Standby: r.req.Standby,
+				Cap: room, Later: room, Price: c.price(r.req.Rig, r.req.Standby)})
+			p.machines = append(p.machines, nil)
+		}
+	}
+	return p
+}
+
+// waitingJob is a job as a round sees it, or nil if nothing of it can be placed
+// now.
+func (c *Controller) waitingJob(j *job, now time.Time) *sched.Job {
+	spec := &j.rec.Spec
+	waiting := j.waiting()
+	if waiting == 0 || now.Before(j.hold) {
+		return nil
+	}
+	if spec.Shape == wire.Group && j.live > 0 {
+		// A gang runs whole or not at all: the rest ends, and it starts anew.
+		j.each(func(a *fleet.Attempt) {
+			c.stop(a, spec.StowS+c.Config.Cluster.Workers.ReportS, now, "its gang is not whole")
+		})
+		return nil
+	}
+	byYard, known := map[string]int{}, true
+	if j.live > 0 && (spec.Together || spec.Scatter) {
+		j.each(func(a *fleet.Attempt) {
+			byYard[a.Machine.Yard]++
+			known = known && a.Machine.Yard != ""
+		})
+	}
+	if !known {
+		return nil // a zone that a task may be in is not known yet
+	}
+	sj := &sched.Job{Spec: spec, Level: j.level, AtMs: j.rec.AtMs, Waiting: waiting, Live: j.live, ByYard: byYard,
+		WaitedS: now.Sub(j.waitFrom).Seconds(), SlackS: c.slackS(spec), LaxS: c.laxS(j, now), Avoid: c.avoids(j, now)}
+	// What a service has lost is down until it has its image again.
+	sj.Fetch = sj.SlackS < 0 || j.lost > 0 && spec.Shape == wire.Standing
+	sj.Dear = spec.Standby && c.spotSpent(spec, now)
+	boot := c.bootS(spec)
+	sj.Tired = sj.WaitedS > boot
+	sj.Overdue = sj.Tired || sj.LaxS < boot
+	return sj
+}
+
+// addNode adds a machine as a round sees it, if it takes launches now or soon.
+// top is the highest level that waits.
+func (c *Controller) addNode(p *picture, m *fleet.Machine, top int, now time.Time) {
+	n := sched.Node{ID: m.ID, Rig: m.Rig, Yard: m.Yard, Standby: m.Standby, Cap: m.Cap, Price: c.price(m.Rig, m.Standby)}
+	switch {
+	case m.Takes(now) && m.Strays() == 0:
+		n.Free, n.Soon, n.Cache = m.Free(), m.Free(), m
+		n.Leaving = !m.Standby && !c.kept[m.ID]
+		m.Each(func(a *fleet.Attempt) {
+			j := c.jobs[a.Uid]
+			if !a.Live() {
+				return
+			}
+			if j != nil && !j.rec.Spec.Standby {
+				n.Leaving, n.Fixed = false, true
+			}
+			switch {
+			case a.Stopping || a.State == fleet.Saving:
+				n.Soon = n.Soon.Add(a.Need)
+			case j != nil && j.level < top && (a.State == fleet.Running || a.State == fleet.Fetching):
+				v := victim(j, a, now)
+				v.ID = len(p.victims)
+				n.Victims = append(n.Victims, v)
+				p.victims = append(p.victims, a)
+			}
+		})
+		n.Later = n.Soon
+	case c.comes(m, now):
+		n.Later = m.Free()
+	default:
+		return
+	}
+	p.in.Nodes = append(p.in.Nodes, n)
+	p.machines = append(p.machines, m)
+}
+
+// victim is an attempt as one that work of a higher level may displace. A
+// replica that has not run yet serves nobody: it can be displaced like batch,
+// and loses what it has fetched.
+func victim(j *job, a *fleet.Attempt, now time.Time) sched.Victim {
+	v := sched.Victim{Level: j.level, Need: a.Need}
+	switch serves := j.rec.Spec.Shape == wire.Standing; {
+	case !a.RunAt.IsZero():
+		v.Serve, v.Loss = serves, now.Sub(a.RunAt).Seconds()
+		if mark := j.rec.Spec.MarkS; mark > 0 {
+			v.Loss = min(v.Loss, j.rec.Spec.StowS)
+		}
+	case serves:
+		v.Loss = now.Sub(a.Since).Seconds()
+	}
+	return v
+}
+
+// avoids names the machine that a job failed on lately. A job that failed on
+// several machines is at fault itself. If it went on avoiding machines, new
+// ones would be rented for it.
+func (c *Controller) avoids(j *job, now time.Time) string {
+	if len(j.avoid) == 1 {
+		for id, at := range j.avoid {
+			if now.Sub(at) < 6*c.Config.Lease() {
+				return id
+			}
+		}
+	}
+	return ""
+}
+
+// spotSpent reports whether the cloud had no spot machine left that may run the
+// job when it was last asked: work that waited for one was only late. From time
+// to time the refusals run out, and it is asked again.
+func (c *Controller) spotSpent(w *wire.Work, now time.Time) bool {
+	for i := range c.cat.Rigs {
+		r := &c.cat.Rigs[i]
+		if !provision.Cap(r).Holds(fleet.Need(w)) {
+			continue
+		}
+		for _, yard := range r.Yards {
+			if sched.Allowed(w, r.Sku, yard, true) && !now.Before(c.refused[provision.Group{Rig: r.Sku, Yard: yard, Standby: true}].until) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// price is what a machine costs per hour.
+func (c *Controller) price(sku string, standby bool) float64 {
+	r := c.rig(sku)
+	switch {
+	case r == nil:
+		return 0
+	case standby:
+		return r.LowPrice
+	}
+	return r.Hourly
+}
+
+// laxS is how long a job can still wait and be done by its deadline, or by the
+// next time that the users set for its class, if it runs half as long again as
+// its owner expects. Work without either counts as due a few boots after it
+// came, so that age decides among its like.
+func (c *Controller) laxS(j *job, now time.Time) float64 {
+	s := &j.rec.Spec
+	age := float64(now.UnixMilli()-j.rec.AtMs) / 1000
+	due := math.Inf(1)
+	if s.DueS != nil {
+		due = *s.DueS
+	}
+	for _, o := range c.Config.Cluster.Objectives {
+		if o.Kind == "finished" && o.Class == s.Berth && o.WithinS > age {
+			due = min(due, o.WithinS)
+		}
+	}
+	if math.IsInf(due, 1) || s.Shape != wire.Sweep {
+		return 4*c.bootS(s) - now.Sub(j.waitFrom).Seconds()
+	}
+	fetch := 0.0
+	for i := range c.cat.Rigs {
+		if r := &c.cat.Rigs[i]; r.PullGbPerS > 0 {
+			fetch = max(fetch, s.ImageGb/r.PullGbPerS)
+		}
+	}
+	return due - age - fetch - 1.5*s.ExpectS
+}
+
+// bootS is how long the quickest machine that may run a task of the job boots.
+func (c *Controller) bootS(w *wire.Work) float64 {
+	boot := math.Inf(1)
+	for i := range c.cat.Rigs {
+		if r := &c.cat.Rigs[i]; provision.Cap(r).Holds(fleet.Need(w)) && (len(w.Rigs) == 0 || slices.Contains(w.Rigs, r.Sku)) {
+			boot = min(boot, r.BootS)
+		}
+	}
+	return boot
+}
+
+// slackS is how long after a launch is decided a start is still within the time
+// that the users set for the job's class, if the machine must fetch the image
+// first. The rate that the catalog gives is met give or take a third.
+func (c *Controller) slackS(w *wire.Work) float64 {
+	slack := math.Inf(1)
+	for _, o := range c.Config.Cluster.Objectives {
+		if o.Kind != "wait" || o.Class != w.Berth {
+			continue
+		}
+		for i := range c.cat.Rigs {
+			r := &c.cat.Rigs[i]
+			if provision.Cap(r).Holds(fleet.Need(w)) && r.PullGbPerS > 0 {
+				slack = min(slack, o.WithinS-w.ImageGb/r.PullGbPerS*4/3-c.Config.Cluster.Workers.ReportS)
+			}
+		}
+	}
+	return slack
+}
+
+// comes reports whether a machine is expected to take launches soon. One that
+// boots for much longer than usual is no longer counted on.
+func (c *Controller) comes(m *fleet.Machine, now time.Time) bool {
+	if m.Draining || m.Warned || m.Failed || m.Cap.Cores == 0 {
+		return false
+	}
+	switch m.State {
+	case fleet.Confirming:
+		return !now.Before(m.SickTill)
+	case fleet.Booting:
+		r := c.rig(m.Rig)
+		return r != nil && now.Sub(m.Born).Seconds() < 1.7*r.BootS+2*c.Config.Cluster.Workers.ReportS
+	}
+	return false
+}
--- /dev/null
+++ b/internal/controller/rent.go
@@ -0,0 +1,145 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/cloud"
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/internal/provision"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// rental is a request to the cloud that is not answered yet.
+type rental struct{ req wire.RentRequest }
+
+// refusal remembers that the cloud had no capacity for a group.
+type refusal struct {
+	until time.Time
+	pause time.Duration
+}
+
+// book names a rental: the term and a counter make names that no node uses
+// again.
+func (c *Controller) book(r provision.Rent) *rental {
+	c.rents++
+	req := wire.RentRequest{Booking: fmt.Sprintf("lt-%d-%d", c.term, c.rents), Rig: r.Rig, Yard: r.Yard, Standby: r.Standby, HowMany: r.Count}
+	out := &rental{req}
+	c.pending[req.Booking] = out
+	return out
+}
+
+// rent asks the cloud until it answers, for a while.
+func (c *Controller) rent(ctx context.Context, r *rental) {
+	pause := c.Config.ListLag() / 4
+	group := provision.Group{Rig: r.req.Rig, Yard: r.req.Yard, Standby: r.req.Standby}
+	for try := 0; try < 4 && ctx.Err() == nil; try++ {
+		hosts, err := c.Cloud.Rent(ctx, r.req)
+		if err == nil {
+			slog.Info("rented", "booking", r.req.Booking, "rig", r.req.Rig, "yard", r.req.Yard, "standby", r.req.Standby, "asked", r.req.HowMany, "hosts", hosts)
+			c.mu.Lock()
+			now := c.now()
+			delete(c.pending, r.req.Booking)
+			delete(c.refused, group)
+			if len(hosts) < r.req.HowMany {
+				c.refuse(group, now)
+			}
+			for _, h := range hosts {
+				m := c.fleet.Know(h, now)
+				m.Rig, m.Yard, m.Standby = r.req.Rig, r.req.Yard, r.req.Standby
+				c.capacity(m)
+			}
+			c.mu.Unlock()
+			return
+		}
+		slog.Info("rental failed", "booking", r.req.Booking, "rig", r.req.Rig, "yard", r.req.Yard, "standby", r.req.Standby, "err", err)
+		if errors.Is(err, cloud.ErrNoCapacity) {
+			c.mu.Lock()
+			c.refuse(group, c.now())
+			c.mu.Unlock()
+			break
+		}
+		sleep(ctx, pause)
+		pause *= 2
+	}
+	c.mu.Lock()
+	delete(c.pending, r.req.Booking)
+	c.mu.Unlock()
+}
+
+// refuse passes a group over for a while, longer each time.
+func (c *Controller) refuse(g provision.Group, now time.Time) {
+	pause := min(max(c.refused[g].pause*2, c.Config.Lease()/2), 3*c.Config.Lease())
+	c.refused[g] = refusal{now.Add(pause), pause}
+}
+
+// lists reads the machine list and the prices from time to time.
+func (c *Controller) lists(ctx context.Context) {
+	every := max(c.Config.ListLag()*2/3, time.Duration(float64(8*time.Second)/c.Config.Cluster.Cloud.Rps))
+	var priced time.Time
+	for ctx.Err() == nil {
+		if now := c.now(); priced.IsZero() || now.Sub(priced) > 3*c.Config.Lease() {
+			cat, err := c.Cloud.Catalog(ctx)
+			if err != nil {
+				slog.Warn("no catalog", "err", err)
+			} else if len(cat.Rigs) > 0 {
+				priced = now
+				c.mu.Lock()
+				c.cat = &cat
+				c.fleet.Each(c.capacity)
+				c.mu.Unlock()
+			}
+		}
+		asked := c.now()
+		hosts, err := c.Cloud.List(ctx)
+		if err != nil {
+			slog.Warn("no machine list", "err", err)
+		} else {
+			c.listed(hosts, asked)
+		}
+		if !sleep(ctx, every) {
+			return
+		}
+	}
+}
+
+// listed takes a machine list into the picture. It may be older than the last.
+func (c *Controller) listed(hosts []wire.ListedHost, asked time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	seen := make(map[string]bool, len(hosts))
+	for i := range hosts {
+		h := &hosts[i]
+		seen[h.Uid] = true
+		m := c.fleet.Know(h.Uid, now)
+		if m.State == fleet.Gone {
+			continue
+		}
+		if !m.Listed {
+			m.Listed = true
+			m.Rig, m.Yard, m.Standby, m.Address = h.Rig, h.Yard, h.Standby, h.Address
+			if born := asked.Add(-time.Duration(h.AgeS * float64(time.Second))); born.Before(m.Born) {
+				m.Born = born
+			}
+			c.capacity(m)
+		}
+		if h.Status == wire.HostFailed {
+			m.Failed = true
+		}
+	}
+	c.fleet.Each(func(m *fleet.Machine) {
+		// Once listed, a machine stays listed until it is gone. A list may be
+		// old, but not older than a machine that was listed long ago.
+		// The same goes for one that has been known for that long and never was.
+		if !seen[m.ID] && now.Sub(m.Born) > 4*c.Config.ListLag()+c.Config.Lease() && now.Sub(m.Heard) > 2*c.Config.ReportEvery() {
+			m.Failed = true
+		}
+		if ret := c.returns[m.ID]; ret != nil && m.State == fleet.Gone && seen[m.ID] {
+			ret.goneAt = now // still listed: keep its record
+		}
+	})
+}
--- /dev/null
+++ b/internal/controller/spare.go
@@ -0,0 +1,149 @@
+package controller
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/internal/provision"
+	"lotusstile.dev/lotusstile/internal/sched"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// arrivals measures how often jobs of a class come, with old ones fading.
+type arrivals struct {
+	spec  *wire.Work
+	level int
+	count float64 // jobs, each less the longer ago it came
+	legs2 float64 // tasks of a job, squared, on the mean
+	at    time.Time
+}
+
+// fade is how long ago a job must have come to count as little as 1/e. It is
+// a few boots: spare room is for what comes while a machine boots.
+func (a *arrivals) fade(now time.Time, overS float64) {
+	a.count *= math.Exp(-now.Sub(a.at).Seconds() / overS)
+	a.at = now
+}
+
+const arrivalFadeS = 6 // times the users' longest wait for a machine: see fadeS
+
+// fadeS is the time over which arrivals fade.
+func (c *Controller) fadeS() float64 { return arrivalFadeS * 2 * c.Config.Lease().Seconds() }
+
+// arrived notes a new job.
+func (c *Controller) arrived(j *job, now time.Time) {
+	s, legs := &j.rec.Spec, float64(j.rec.Spec.Legs)
+	a := c.arrive[s.Berth]
+	if a == nil {
+		a = &arrivals{at: now, legs2: legs * legs}
+		c.arrive[s.Berth] = a
+	}
+	a.spec, a.level = s, j.level
+	a.legs2 += (legs*legs - a.legs2) / 8
+	a.fade(now, c.fadeS())
+	a.count++
+}
+
+// spare makes phantom tasks of the classes that must start at once: the room
+// they need is kept, or rented, beyond what waits.
+func (c *Controller) spare(now time.Time) []*sched.Job {
+	var jobs []*sched.Job
+	factor := c.Settings().Spare
+	for _, a := range c.arrive {
+		if a.level < wire.High.Level() || factor == 0 {
+			continue
+		}
+		a.fade(now, c.fadeS())
+		perS := a.count / c.fadeS()
+		n := int(math.Ceil(factor * float64(provision.Spare(perS, a.legs2, c.bootS(a.spec)))))
+		for i := range n {
+			spec := *a.spec
+			spec.Uid, spec.Legs, spec.Shape, spec.Together, spec.Scatter = "", 1, wire.Sweep, false, false
+			jobs = append(jobs, &sched.Job{Spec: &spec, Level: a.level, AtMs: int64(i), Waiting: 1, ByYard: map[string]int{}, Fetch: c.slackS(a.spec) < 0})
+		}
+	}
+	return jobs
+}
+
+// provision rents for what has no room and marks idle machines for return.
+func (c *Controller) provision(p *picture, plan *sched.Plan, now time.Time) []*rental {
+	settled := now.Sub(c.steady) > c.Config.Lease()
+	spareIn := &sched.Input{Window: math.MaxInt, ReserveS: math.Inf(1), Jobs: c.spare(now), Teams: map[string]*sched.Team{}}
+	for name := range p.in.Teams {
+		spareIn.Teams[name] = &sched.Team{}
+	}
+	kept := map[string]bool{}
+	c.kept = kept
+	for i, n := range p.in.Nodes {
+		n.Free, n.Soon, n.Later = plan.LeftSoon[i], plan.LeftSoon[i], plan.LeftLater[i]
+		spareIn.Nodes = append(spareIn.Nodes, n)
+	}
+	spare := sched.Run(spareIn)
+	for _, pl := range spare.Places {
+		if m := p.machines[pl.Node]; m != nil {
+			kept[m.ID] = true
+		}
+	}
+	// A new leader waits until the machines have reported before it decides
+	// that there are too few or too many.
+	if !settled && len(c.pending) == 0 && c.fleet.Len() > 0 && c.unheard() {
+		return nil
+	}
+	population := map[string]int{}
+	c.fleet.Each(func(m *fleet.Machine) { population[m.Yard]++ })
+	shorts := append(append([]sched.Short{}, plan.Shorts...), spare.Shorts...)
+	rents := provision.Rents(c.cat, shorts, population, func(g provision.Group) bool { return now.Before(c.refused[g].until) })
+	var out []*rental
+	for _, r := range rents {
+		out = append(out, c.book(r))
+	}
+	if settled {
+		c.idle(plan.Shorts, kept, now)
+	}
+	return out
+}
+
+// unheard reports whether machines that may run tasks have not reported yet.
+func (c *Controller) unheard() bool {
+	found := false
+	c.fleet.Each(func(m *fleet.Machine) {
+		found = found || (m.State == fleet.Booting && m.LiveCount() > 0) || m.State == fleet.Confirming
+	})
+	return found
+}
+
+// idle returns machines that have had nothing to do for a while and that are
+// not kept as spare room, the dearest first. A part of them at a time: the next
+// round sees what is left. It is a part and not a number, or what a large fleet
+// no longer needs stays for minutes: one machine a round left 250 of 450 idle.
+func (c *Controller) idle(shorts []sched.Short, kept map[string]bool, now time.Time) {
+	// Machines that what waits cannot use are returned even while work waits:
+	// else they could hold the last capacity that the cloud has, for ever.
+	wanted := func(m *fleet.Machine) bool {
+		return slices.ContainsFunc(shorts, func(s sched.Short) bool {
+			return sched.Allowed(s.Job.Spec, m.Rig, m.Yard, m.Standby) && m.Cap.Holds(fleet.Need(s.Job.Spec))
+		})
+	}
+	var idle []*fleet.Machine
+	c.fleet.Each(func(m *fleet.Machine) {
+		r := c.rig(m.Rig)
+		if m.State != fleet.Ready || m.Draining || m.LiveCount() > 0 || kept[m.ID] || r == nil || wanted(m) {
+			return
+		}
+		// A machine costs at least a minute; what comes back within a
+		// fraction of a boot saves a boot.
+		if now.Sub(m.IdleAt).Seconds() < r.BootS/2 || now.Sub(m.Born).Seconds() < r.BootS+10 {
+			return
+		}
+		idle = append(idle, m)
+	})
+	slices.SortFunc(idle, func(a, b *fleet.Machine) int {
+		return cmp.Or(cmp.Compare(c.price(b.Rig, b.Standby), c.price(a.Rig, a.Standby)), cmp.Compare(b.ID, a.ID))
+	})
+	for _, m := range idle[:(len(idle)+3)/4] {
+		c.giveUp(m, now, "idle")
+	}
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -366,11 +366,8 @@
 	return taskPrice(n, fleet.Need(j.Spec))
 }
 
-// choose picks nodes for up to want tasks: the cheapest for the task first,
-// then those that have the image, then those that need the fewest machines,
-// then the tightest fit. The image goes first where its fetch alone would make
-// the start late. CPU-only work goes where the fewest GPUs are free.
-func (r *round) choose(j *Job, want int, l layer, yard string) []Place {
+// options lists where tasks of j fit, at most want on each node.
+func (r *round) options(j *Job, want int, l layer, yard string) []option {
 	need := fleet.Need(j.Spec)
 	var opts []option
 	for _, i := range r.candidates(l) {
@@ -390,7 +387,15 @@
 		}
 		opts = append(opts, o)
 	}
-	order := least[option]{items: opts, cmp: func(a, b option) int {
+	return opts
+}
+
+// better orders options: the cheapest for the task first, then those that have
+// the image, then those that need the fewest machines, then the tightest fit. The
+// image goes first where its fetch alone would make the start late. CPU-only
+// work goes where the fewest GPUs are free.
+func (r *round) better(j *Job) func(a, b option) int {
+	return func(a, b option) int {
 		na, nb := &r.in.Nodes[a.node], &r.in.Nodes[b.node]
 		price, image := cmp.Compare(a.price, b.price), cmp.Compare(b2i(b.image), b2i(a.image))
 		if j.Fetch {
@@ -406,7 +411,12 @@
 			return cmp.Or(price, image, pulls, count, spare, last)
 		}
 		return cmp.Or(price, count, stays, spare, image, pulls, last)
-	}}
+	}
+}
+
+// choose picks nodes for up to want tasks, the best first.
+func (r *round) choose(j *Job, want int, l layer, yard string) []Place {
+	order := least[option]{items: r.options(j, want, l, yard), cmp: r.better(j)}
 	var places []Place
 	taken := map[string]int{}
 	for o := range order.all() {
