--- a/internal/controller/returns.go
+++ b/internal/controller/returns.go
@@ -81,14 +81,16 @@
 		Guards: []wire.Guard{{Key: ledger.LeaderKey, Stamp: c.term}, {Key: rec.key}},
 		Apply:  []wire.Change{{Set: rec.key, Value: ledger.Encode(ledger.Returns{Hosts: hosts})}},
 	})
+	if err != nil {
+		slog.Warn("returns not recorded", "hosts", hosts, "err", err)
+		c.checkDeposed(err) // takes the lock itself
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err == nil || errors.Is(err, store.ErrUnknown) {
 		c.returnsRecords = append(c.returnsRecords, rec) // to be dropped in the end
 	}
 	if err != nil {
-		slog.Warn("returns not recorded", "hosts", hosts, "err", err)
-		c.checkDeposed(err)
 		return false
 	}
 	for _, id := range hosts {
--- /dev/null
+++ b/internal/controller/returns_test.go
@@ -0,0 +1,102 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/store"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// scripted is a state service that answers commits as it is told and keeps them.
+type scripted struct {
+	Store
+	answers []error
+	commits []wire.Commit
+}
+
+func (s *scripted) Commit(_ context.Context, tx wire.Commit) (uint64, error) {
+	s.commits = append(s.commits, tx)
+	err := s.answers[0]
+	s.answers = s.answers[1:]
+	return uint64(len(s.commits)), err
+}
+
+// back is a cloud that takes machines back.
+type back struct {
+	Cloud
+	hosts []string
+}
+
+func (b *back) Return(_ context.Context, hosts []string) error {
+	b.hosts = append(b.hosts, hosts...)
+	return nil
+}
+
+// returner is a leader that has given up n machines.
+func returner(n int, answers ...error) (*Controller, *scripted, *back) {
+	now := time.Unix(1000, 0)
+	c := watched(&now)
+	st, cl := &scripted{answers: answers}, &back{}
+	c.Store, c.Cloud, c.Config.Cluster.State.ValueKb = st, cl, 1
+	for i := range n {
+		c.hearFrom(i, 1, now)
+	}
+	c.fleet.Each(func(m *fleet.Machine) { c.giveUp(m, now, "test") })
+	return c, st, cl
+}
+
+// A record whose outcome is unknown is not written again under its key, and
+// nothing is returned before its record is known to stand.
+func TestReturnsAreRecordedFirst(t *testing.T) {
+	c, st, cl := returner(150, store.ErrUnknown, nil, nil)
+	if c.recordReturns(t.Context()) || c.sendReturns(t.Context()) {
+		t.Fatal("goes on although nothing is known to be recorded")
+	}
+	for c.recordReturns(t.Context()) {
+	}
+	for c.sendReturns(t.Context()) {
+	}
+	if len(cl.hosts) != 150 {
+		t.Errorf("%d machines are returned, expected 150", len(cl.hosts))
+	}
+	keys := map[string]bool{}
+	for _, tx := range st.commits {
+		key := tx.Apply[0].Set
+		if keys[key] || len(tx.Apply) != 1 || tx.Guards[0] != (wire.Guard{Key: ledger.LeaderKey, Stamp: 5}) || tx.Guards[1] != (wire.Guard{Key: key}) {
+			t.Errorf("commit %+v", tx)
+		}
+		keys[key] = true
+	}
+	if len(keys) != 3 { // the unknown one, and two parts that fit a value
+		t.Errorf("%d records", len(keys))
+	}
+}
+
+// A leader that learns from the record of a return that it is deposed ends its
+// term and still answers. It once waited for its own lock, and its node for ever
+// for the term to end.
+func TestDeposedWhileReturning(t *testing.T) {
+	c, _, cl := returner(3, &store.ConflictError{Failed: []string{ledger.LeaderKey}})
+	ended := errors.New("deposed")
+	ctx, cancel := context.WithCancelCause(t.Context())
+	c.cancel = func() { cancel(ended) }
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.recordReturns(ctx)
+		c.Counts("run-000001")
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("stuck")
+	}
+	if !errors.Is(context.Cause(ctx), ended) || len(cl.hosts) > 0 {
+		t.Errorf("the term goes on, or %v were returned", cl.hosts)
+	}
+}
