--- a/internal/controller/lost.go
+++ b/internal/controller/lost.go
@@ -132,12 +132,16 @@
 	// last ones have just missed a report: counting only the quiet ones, a
 	// leader returned 17 of 90 before it saw that there was a cut. Up to half of
 	// a zone counts as lost: if it is their network that failed, their leases
-	// end anyway, and what they ran is down for as long later instead. Only if
-	// it may be this node's own links, no more than an eighth does: a leader
-	// that had lost the workers returned 150 of 330 on their way to its peers.
-	part := 2
+	// end anyway, and what they ran is down for as long later instead.
+	part, patience := 2, 3*every
+	// How long a worker may look for a node: it learns with its next report that
+	// one is gone, and each that does not answer costs it one try.
+	search := every*5/4 + time.Duration(max(1, len(c.Config.Members)+1-len(reached)))*workerTry
 	if c.relayed(now) {
-		part = 8
+		// It may be this node's own links: a leader that had lost the workers
+		// returned 150 of 330 on their way to its peers, and 80 still when it
+		// gave up no more than an eighth, but after three intervals.
+		part, patience = 8, max(patience, search+every/2)
 	}
 	lost := func(m *fleet.Machine) bool {
 		z := zones[m.Yard]
@@ -146,9 +150,6 @@
 	// Behind a cut, a node without the state service stops renewing leases in
 	// time for withdrawn tasks to die: after this, nothing there runs on.
 	over := time.Duration(c.Config.Cluster.Workers.CancelS * float64(time.Second))
-	// How long a worker may look for a new leader: it learns with its next report
-	// that a node is gone, and each that does not answer costs it one try.
-	search := every*5/4 + time.Duration(max(1, len(c.Config.Members)+1-len(reached)))*workerTry
 	settled := now.Sub(c.steady) > 2*lease
 	c.fleet.Each(func(m *fleet.Machine) {
 		switch {
@@ -157,7 +158,7 @@
 			c.giveUp(m, now, "failed")
 		case m.State == fleet.Silent && (!cutOff(m) || now.Sub(m.Heard) > over):
 			c.giveUp(m, now, "silent")
-		case lost(m) && (m.State == fleet.Ready && now.Sub(c.steady) > lease && now.Sub(m.Heard) > 3*every ||
+		case lost(m) && (m.State == fleet.Ready && now.Sub(c.steady) > lease && now.Sub(m.Heard) > patience ||
 			m.State == fleet.Booting && m.LiveCount() > 0 && now.Sub(m.Heard) > search):
 			// Some machines fall silent while the others go on: they have
 			// stopped, hang or are cut off, and by the time they come back
--- a/internal/controller/machines_test.go
+++ b/internal/controller/machines_test.go
@@ -55,6 +55,8 @@
 		{"many", func(i int) bool { return i%3 == 0 }, func(int) bool { return false }, false, 4500 * time.Millisecond, 60},
 		{"most of a zone that is reached", func(i int) bool { return i%2 == 0 && i > 20 }, func(int) bool { return false }, false, 11500 * time.Millisecond, 79},
 		{"links of the leader", func(int) bool { return true }, func(i int) bool { return i%3 > 0 }, true, 8 * time.Second, 0},
+		{"links of the leader, a few late", func(int) bool { return true }, func(i int) bool { return i%24 > 0 }, true, 5500 * time.Millisecond, 0},
+		{"links of the leader, a few lost", func(int) bool { return true }, func(i int) bool { return i%24 > 0 }, true, 8 * time.Second, 8},
 		{"a zone that nothing keeps", func(i int) bool { return i%2 == 1 }, func(int) bool { return false }, false, 45 * time.Second, 90},
 	} {
 		now := time.Unix(1000, 0)
