--- a/internal/controller/machines_test.go
+++ b/internal/controller/machines_test.go
@@ -45,7 +45,7 @@
 	for _, tc := range []struct {
 		name   string
 		silent func(i int) bool
-		kept   func(i int) bool // by a follower, from five seconds on
+		kept   func(i int) bool // by a follower, from four seconds on
 		relays bool             // the follower relays their reports
 		after  time.Duration
 		want   int
@@ -55,7 +55,7 @@
 		{"many", func(i int) bool { return i%3 == 0 }, func(int) bool { return false }, false, 4500 * time.Millisecond, 60},
 		{"most of a zone that is reached", func(i int) bool { return i%2 == 0 && i > 20 }, func(int) bool { return false }, false, 11500 * time.Millisecond, 79},
 		{"links of the leader", func(int) bool { return true }, func(i int) bool { return i%3 > 0 }, true, 8 * time.Second, 0},
-		{"links of the leader, a few late", func(int) bool { return true }, func(i int) bool { return i%24 > 0 }, true, 5500 * time.Millisecond, 0},
+		{"links of the leader, a few late", func(int) bool { return true }, func(i int) bool { return i%24 > 0 }, true, 5200 * time.Millisecond, 0},
 		{"links of the leader, a few lost", func(int) bool { return true }, func(i int) bool { return i%24 > 0 }, true, 8 * time.Second, 8},
 		{"a zone that nothing keeps", func(i int) bool { return i%2 == 1 }, func(int) bool { return false }, false, 45 * time.Second, 90},
 	} {
@@ -69,10 +69,10 @@
 				switch {
 				case due && (at < 10*time.Second || !tc.silent(i)):
 					c.hearFrom(i, tick, now)
-				case due && at > 15*time.Second && tc.kept(i) && tc.relays:
+				case due && at > 14*time.Second && tc.kept(i) && tc.relays:
 					c.hearFrom(i, tick, now)
 					c.fleet.Get(fmt.Sprintf("m-%03d", i)).Relayed = now
-				case due && at > 15*time.Second && tc.kept(i):
+				case due && at > 14*time.Second && tc.kept(i):
 					c.fleet.Get(fmt.Sprintf("m-%03d", i)).Heard = now
 				}
 			}
