Peers are told of withdrawals; first writes of pieces guarded by the job; meetings played on stand-ins

Withdrawals travel over net/rpc to peers that answer pings, ahead of the watch: with the leader alone refused its tasks are gone in 3 s (TestWithdrawalsAreTold), not with their leases. No rule rests on it. A piece's first record without launches had the absence of its key as its only guard: carried out late, it brought the piece back after its job was archived (TestFirstWriteOfAPieceIsGuardedByItsJob fails on the code before). A copy of a report of an earlier session that meets a new leader made it pass the machine over for two leases (TestCopiesOfAnEarlierSessionDoNotMakeDeaf fails on the code before).

--- a/internal/api/users.go
+++ b/internal/api/users.go
@@ -305,14 +305,14 @@
 			continue
 		}
 		rec.Status = wire.JobAborted
-		_, err = n.store.Commit(ctx, wire.Commit{
+		stamp, err := n.store.Commit(ctx, wire.Commit{
 			Guards: []wire.Guard{{Key: item.Key, Stamp: item.Stamp}},
 			Apply:  []wire.Change{{Set: item.Key, Value: ledger.Encode(rec)}},
 		})
 		var conflict *store.ConflictError
 		switch {
 		case err == nil:
-			n.finals.put(uid, rec.Status)
+			n.tellWithdrawn(peer.WithdrawnArgs{Uid: uid, Rec: rec, Stamp: stamp})
 		case errors.As(err, &conflict):
 		default:
 			slog.Info("withdrawal not recorded", "uid", uid, "err", err)
@@ -322,6 +322,30 @@
 	return retryLater(c, "cannot be decided now")
 }
 
+// tellWithdrawn spreads the word of a committed withdrawal, so that a leader that
+// the state service refuses, or whose watch is late, stops the tasks at once. No
+// rule rests on it: a peer that it does not reach learns of the withdrawal by
+// reading, or stops renewing leases.
+func (n *Node) tellWithdrawn(a peer.WithdrawnArgs) {
+	n.Withdrawn(a)
+	for _, p := range n.peers {
+		if _, ok := p.Last(n.cfg.HoldTTL()); !ok {
+			continue
+		}
+		go func() {
+			if err := p.Withdrawn(a); err != nil {
+				slog.Debug("peer not told of a withdrawal", "peer", p.Label, "uid", a.Uid, "err", err)
+			}
+		}()
+	}
+}
+
+// Withdrawn takes word of a committed withdrawal.
+func (n *Node) Withdrawn(a peer.WithdrawnArgs) {
+	n.finals.put(a.Uid, a.Rec.Status)
+	n.mirror.Hint(a.Uid, a.Rec, a.Stamp)
+}
+
 // finals remembers final statuses for ever, or rather for as long as they fit:
 // they can be read again.
 type finals struct {
--- a/internal/controller/returns_test.go
+++ b/internal/controller/returns_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -100,3 +101,30 @@
 		t.Errorf("the term goes on, or %v were returned", cl.hosts)
 	}
 }
+
+// A piece is written for the first time only while its job has a record. A commit
+// without launches had no guard of the job: carried out late, after the job and
+// all its pieces were dropped, it brought one back for ever.
+func TestFirstWriteOfAPieceIsGuardedByItsJob(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := watched(&now)
+	c.Config.Cluster.State.TxnOps, c.Config.Cluster.State.WriteRps = 24, 100
+	c.hearFrom(0, 1, now)
+	j := newJob("run-000001", ledger.Entry{Job: &ledger.Job{Spec: wire.Work{Legs: 3}, Status: wire.JobQueued, Per: 2}, Stamp: 7}, now)
+	c.jobs[j.uid] = j
+	p := j.piece(0)
+	a := &fleet.Attempt{Uid: j.uid, Try: 1}
+	p.live[0], p.next = a, 2
+	j.live++
+	p.touch(now)
+	c.fleet.Place(c.fleet.Get("m-000"), a, now)
+	c.fleet.StopAttempt(a, 0, now, "its machine has a new session") // before it was recorded
+	now = now.Add(c.endsWait())
+	b := c.collect()
+	if b == nil || len(b.pieces) != 1 || len(b.pieces[0].planned) != 0 {
+		t.Fatalf("the batch is %+v", b)
+	}
+	if !slices.Contains(b.tx.Guards, wire.Guard{Key: ledger.JobKey(j.uid), Stamp: 7}) {
+		t.Errorf("guards are %v", b.tx.Guards)
+	}
+}
--- a/internal/controller/writer.go
+++ b/internal/controller/writer.go
@@ -120,7 +120,7 @@
 			c.archive(b, j, ops)
 			continue
 		}
-		launches := false
+		needsJob := false
 		for _, p := range j.pieces {
 			if !p.dirty || p.unsure || p.due.After(now) || len(b.tx.Apply) >= ops || size > maxTx || len(b.tx.Guards)+2 > 4*ops {
 				continue
@@ -132,10 +132,13 @@
 			b.tx.Guards = append(b.tx.Guards, wire.Guard{Key: key, Stamp: p.stamp})
 			b.tx.Apply = append(b.tx.Apply, wire.Change{Set: key, Value: value})
 			b.pieces = append(b.pieces, w)
-			launches = launches || len(w.planned) > 0
+			needsJob = needsJob || len(w.planned) > 0 || p.stamp == 0
 		}
-		if launches {
-			// A withdrawal changes this stamp: nothing is launched after it.
+		if needsJob {
+			// A withdrawal changes this stamp: nothing is launched after it. And a
+			// piece is written for the first time only while its job has a record:
+			// a commit that is carried out late would bring it back after the job
+			// and all its pieces were dropped, and its absence is no guard then.
 			b.tx.Guards = append(b.tx.Guards, wire.Guard{Key: ledger.JobKey(j.uid), Stamp: j.stamp})
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -376,9 +376,11 @@
 		m.Warned = true
 	}
 	confirmed := r.Baton == f.term
-	if newSession && heardAgo < f.lease {
+	if newSession && heardAgo < f.lease && m.State == Ready {
 		// It reported all the time and yet its lease ended: answers do not
-		// reach it. Launches would be lost, so it gets none for a while.
+		// reach it. Launches would be lost, so it gets none for a while. That it
+		// reported is only known if it had this term's token: copies of reports of
+		// an earlier session may meet a leader that has just begun.
 		m.SickTill = now.Add(2 * f.lease)
 	}
 	reported := make(map[attemptKey]*wire.LegReport, len(r.Legs))
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -225,3 +225,24 @@
 		}
 	})
 }
+
+// A machine whose lease ends although it reports does not hear its answers, and
+// is passed over. A copy of a report of an earlier session says nothing of the
+// kind, but a machine was passed over for two leases when one met a new leader.
+func TestCopiesOfAnEarlierSessionDoNotMakeDeaf(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		baton uint64 // of the report of the earlier session
+		takes bool
+	}{{"a copy from before this term", 4, true}, {"a report of this term", 5, false}} {
+		now := time.Now()
+		f := New(5, lease, nobody{})
+		f.Report(report(1, 7, tc.baton), now)
+		m := f.Get("m-1")
+		m.Cap = Res{8, 8, 8}
+		f.Report(report(2, 30, 5), now.Add(lease/5))
+		if m.Takes(now.Add(lease/5)) != tc.takes {
+			t.Errorf("%s: takes launches: %v", tc.name, !tc.takes)
+		}
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"lotusstile.dev/lotusstile/internal/config"
+	"lotusstile.dev/lotusstile/internal/ledger"
 	"lotusstile.dev/lotusstile/wire"
 )
 
@@ -59,8 +60,20 @@
 	Body       []byte
 }
 
+// WithdrawnArgs tells that a job's withdrawal is committed: its record and the
+// record's stamp.
+type WithdrawnArgs struct {
+	Uid   string
+	Rec   ledger.Job
+	Stamp uint64
+}
+
+// WithdrawnReply is empty.
+type WithdrawnReply struct{}
+
 // Handler answers peers.
 type Handler interface {
+	Withdrawn(a WithdrawnArgs)
 	User(a UserArgs) UserReply
 	Lead() *wire.LeadStatus
 	Ping(a PingArgs) PingReply
@@ -83,6 +96,9 @@
 // User answers a user's request that a peer passes on.
 func (n *Node) User(a UserArgs, r *UserReply) error { *r = n.h.User(a); return nil }
 
+// Withdrawn takes word of a withdrawal.
+func (n *Node) Withdrawn(a WithdrawnArgs, _ *WithdrawnReply) error { n.h.Withdrawn(a); return nil }
+
 // LeadReply is the leader's status, or nothing from a node that does not lead.
 type LeadReply struct{ Lead *wire.LeadStatus }
 
@@ -243,6 +259,11 @@
 	return r, err
 }
 
+// Withdrawn tells the peer of a withdrawal.
+func (p *Peer) Withdrawn(a WithdrawnArgs) error {
+	return p.call("Node.Withdrawn", a, &WithdrawnReply{}, p.timeout)
+}
+
 // User passes a user's request on.
 func (p *Peer) User(a UserArgs, timeout time.Duration) (UserReply, error) {
 	var r UserReply
--- a/internal/standin/judge.go
+++ b/internal/standin/judge.go
@@ -131,6 +131,19 @@
 	asking.Wait()
 }
 
+// On counts the tasks of a job that are on machines.
+func (w *World) On(uid string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for leg, hosts := range w.on {
+		if u, _, _ := wire.SplitLeg(leg); u == uid {
+			n += len(hosts)
+		}
+	}
+	return n
+}
+
 // LateStarts counts the tasks that started after their user was told that the
 // job is cancelled.
 func (w *World) LateStarts() int {
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -182,3 +184,310 @@
 		})
 	}
 }
+
+// A leader that the state service refuses, alone, learns of a withdrawal from the
+// node that confirmed it: the tasks are gone in seconds, not with their leases.
+func TestWithdrawalsAreTold(t *testing.T) {
+	inDay(t, func(d *day) {
+		spec, _ := replicas(0)(1, rand.New(rand.NewPCG(1, 1)))
+		spec.Legs = 4
+		d.w.Upload(spec)
+		if !d.w.Submit("n0", spec) {
+			t.Fatal("not accepted")
+		}
+		time.Sleep(20 * time.Second)
+		if n := d.w.On(spec.Uid); n != 4 {
+			t.Fatalf("%d tasks run", n)
+		}
+		lead := d.leading()
+		d.net.Refuse(labels[lead], "state:1", true)
+		d.cancel(labels[(lead+1)%3], 2, time.Second)
+		time.Sleep(time.Second)
+		d.w.State.SetDown(true) // before another leads
+		time.Sleep(3 * time.Second)
+		if n := d.w.On(spec.Uid); n != 0 || d.w.Told(spec.Uid) != wire.JobAborted {
+			t.Errorf("%d tasks are left, told %q", n, d.w.Told(spec.Uid))
+		}
+		d.w.State.SetDown(false)
+		d.net.Heal()
+	})
+}
+
+// mixed are replicas, arrays and short tasks of a team at its limit and of one
+// without any; some are cancelled.
+func mixed(i int, r *rand.Rand) (wire.Work, time.Duration) {
+	spec, stay := replicas(time.Duration(30+r.IntN(60))*time.Second)(i, r)
+	switch i % 4 {
+	case 1:
+		spec.Crew, spec.Legs = "crew", 6+r.IntN(6)
+	case 2:
+		spec.Berth, spec.Shape, spec.Rank, spec.Legs, spec.ExpectS, spec.Standby = "batch", wire.Sweep, wire.Standard, 2+r.IntN(6), float64(5+r.IntN(30)), true
+		spec.Crew = []string{"crew", "free"}[r.IntN(2)]
+		if stay = 0; r.IntN(3) == 0 {
+			stay = time.Duration(10+r.IntN(40)) * time.Second
+		}
+	case 3:
+		spec.Rank, spec.Yard = wire.Critical, []string{"a", "b"}[r.IntN(2)]
+		if r.IntN(2) == 0 {
+			spec.Shape, spec.Rank, spec.ExpectS, stay = wire.Sweep, wire.BestEffort, float64(10+r.IntN(30)), 0
+		}
+	}
+	return spec, stay
+}
+
+// small are one-task jobs, a quarter of them cancelled.
+func small(i int, r *rand.Rand) (wire.Work, time.Duration) {
+	s := wire.Work{Uid: fmt.Sprintf("run-%06d", i), Berth: "batch", Crew: "free", Shape: wire.Sweep, Rank: wire.Standard, Legs: 1,
+		Cores: 4, Gpus: 1, RamGb: 20, Rollout: "img", ImageGb: 2, ExpectS: float64(1 + r.IntN(6))}
+	if i%4 == 0 {
+		return s, time.Duration(200+r.IntN(9000)) * time.Millisecond
+	}
+	return s, 0
+}
+
+// long are arrays of two or three tasks that end far apart, and replicas.
+func long(i int, r *rand.Rand) (wire.Work, time.Duration) {
+	s, stay := replicas(time.Duration(60+r.IntN(60))*time.Second)(i, r)
+	if i%2 == 0 {
+		s.Shape, s.Legs, s.ExpectS, stay = wire.Sweep, 2+r.IntN(2), float64(30+r.IntN(60)), 0
+	}
+	return s, stay
+}
+
+// hosts calls f for every machine that there may be, chosen by chance one in n.
+func (d *day) hosts(r *rand.Rand, n int, f func(host string)) {
+	for k := range 40 {
+		if r.IntN(n) == 0 {
+			f(fmt.Sprintf("m-%06d", k))
+		}
+	}
+}
+
+// during does something to a share of the machines for a while.
+func (d *day) during(r *rand.Rand, n int, long time.Duration, f func(host, node string, on bool)) {
+	d.hosts(r, n, func(h string) {
+		for _, node := range labels {
+			f(h, node, true)
+		}
+		time.AfterFunc(long, func() {
+			for _, node := range labels {
+				f(h, node, false)
+			}
+		})
+	})
+}
+
+// hang stops a share of the machines for a while, shorter or longer than a lease.
+func (d *day) hang(r *rand.Rand, share int) {
+	for range share {
+		if k := d.w.Worker(); k != nil {
+			k.Hang(time.Duration(3+r.IntN(14)) * time.Second)
+		}
+	}
+}
+
+// fall ends the leader; it is back after a while.
+func (d *day) fall(back time.Duration) {
+	if lead := d.leading(); lead >= 0 {
+		d.crash(lead)
+		time.AfterFunc(back, func() { d.start(lead) })
+	}
+}
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// Each meeting of troubles that operators have named breaks no rule, at any of
+// the timings that are drawn. docs/failures.md lists which is tested by which.
+func TestMeetings(t *testing.T) {
+	quiet(t)
+	s := time.Second
+	for _, m := range []meeting{
+		{name: "close looks, cancelled at ends, answers lost", machines: 6, n: 40, every: s, jobs: mixed, script: func(d *day, r *rand.Rand) {
+			d.w.CloseLooks, d.w.CancelAtEnd = true, true
+			d.net.LateWrites(0.4, true)
+			time.Sleep(15*s + ms(r.IntN(3000)))
+			d.fall(ms(800))
+			time.Sleep(20 * s)
+			d.net.LateWrites(0, false)
+			time.Sleep(20 * s)
+		}},
+		{name: "one-task jobs four a second, a quarter cancelled", machines: 8, n: 240, every: s / 4, jobs: small, script: func(d *day, r *rand.Rand) {
+			d.w.CloseLooks, d.w.CancelAtEnd = true, true
+			d.net.LateWrites(0.15, r.IntN(2) == 0)
+			time.Sleep(10*s + ms(r.IntN(2000)))
+			d.fall(3 * s)
+			time.Sleep(25 * s)
+		}},
+		{name: "late transactions and ends of leaders", machines: 6, n: 40, every: s, jobs: mixed, script: func(d *day, r *rand.Rand) {
+			d.net.LateWrites(0.3, false)
+			d.w.CloseLooks, d.w.CancelAtEnd = true, true
+			for range 4 {
+				time.Sleep(6*s + ms(r.IntN(4000)))
+				d.fall(ms(300 + r.IntN(5000)))
+			}
+			time.Sleep(15 * s)
+		}},
+		{name: "teams at their limit, cancelled on machines that are cut off or hang, a new leader", machines: 8, n: 40, every: s / 2, jobs: mixed, script: func(d *day, r *rand.Rand) {
+			for i := range 3 {
+				d.hang(r, 3)
+				d.during(r, 3, time.Duration(5+r.IntN(25))*s, func(h, n string, on bool) { d.net.Cut(h, n, on) })
+				time.Sleep(ms(r.IntN(1500)))
+				d.cancel(labels[i], 16+8*i, 8*s)
+				time.Sleep(ms(r.IntN(1500)))
+				d.fall(ms(300 + r.IntN(6000)))
+				time.Sleep(20 * s)
+			}
+		}},
+		{name: "cancelled while the work changes hands, all end and one returns", machines: 6, n: 30, every: s, jobs: mixed, script: func(d *day, r *rand.Rand) {
+			for i := range 3 {
+				d.fall(ms(900))
+				time.Sleep(ms(r.IntN(2500)))
+				d.cancel(labels[(i+1)%3], 6*(i+1), 6*s)
+				time.Sleep(8 * s)
+			}
+			for i := range labels {
+				d.crash(i)
+			}
+			time.Sleep(ms(300 + r.IntN(14000)))
+			d.start(r.IntN(3))
+			d.cancel(labels[0], 24, 30*s)
+			time.Sleep(15 * s)
+		}},
+		{name: "old reports meet new leaders, ten in two minutes, also in an outage", machines: 6, n: 40, every: s, jobs: mixed, script: func(d *day, r *rand.Rand) {
+			for i := range 10 {
+				d.w.KeepCopies(true)
+				time.Sleep(ms(6000 + r.IntN(6000)))
+				old := d.leading()
+				d.fall(ms(400 + r.IntN(3000)))
+				if i == 5 {
+					d.w.State.SetDown(true)
+					time.AfterFunc(8*s, func() { d.w.State.SetDown(false) })
+				}
+				for range 400 {
+					if lead := d.leading(); lead >= 0 && lead != old {
+						break
+					}
+					time.Sleep(ms(10))
+				}
+				d.w.KeepCopies(false)
+			}
+		}},
+		{name: "new machines at once, late writes, and the leader ends", machines: 2, n: 40, every: s / 2, jobs: mixed, script: func(d *day, r *rand.Rand) {
+			d.w.Capacity, d.w.Boot = 10, 2*s
+			d.net.LateWrites(0.4, false)
+			for range 3 {
+				time.Sleep(4*s + ms(r.IntN(6000)))
+				d.fall(ms(300 + r.IntN(6000)))
+				if k := d.w.Worker(); k != nil {
+					k.Die()
+				}
+			}
+			time.Sleep(15 * s)
+		}},
+		{name: "a zone with workers and a controller is cut off for longer than a lease", machines: 8, n: 40, every: s / 2, jobs: mixed, script: func(d *day, r *rand.Rand) {
+			in := r.IntN(3)
+			stateless := r.IntN(2) == 0
+			cut := func(on bool) {
+				d.net.Cut(labels[in], "state:1", on && stateless)
+				for j := range labels {
+					if j != in {
+						d.net.Cut(labels[in]+":81", labels[j]+":81", on)
+					}
+				}
+				for k := range 40 {
+					h := fmt.Sprintf("m-%06d", k)
+					for j := range labels {
+						if (j == in) != (d.w.YardOf(h) == "a") {
+							d.net.Cut(labels[j], h, on)
+						}
+					}
+				}
+			}
+			cut(true)
+			time.Sleep(ms(r.IntN(4000)))
+			d.cancel(labels[(in+1)%3], 20, 20*s)
+			time.Sleep(time.Duration(11+r.IntN(40)) * s)
+			cut(false)
+			d.fall(2 * s)
+			time.Sleep(10 * s)
+		}},
+		{name: "a leader without state service and peers, reports from late, deaf and mute machines", machines: 8, n: 30, every: s, jobs: mixed, script: func(d *day, r *rand.Rand) {
+			d.w.KeepCopies(true)
+			lead := d.leading()
+			part := func(on bool) {
+				d.net.Cut(labels[lead], "state:1", on)
+				for j, l := range labels {
+					if j != lead {
+						d.net.Cut(labels[lead]+":81", l+":81", on)
+					}
+				}
+			}
+			part(true)
+			d.during(r, 4, 25*s, func(h, n string, on bool) { d.net.Mute(h, n, on); d.net.Block(n, h, on) })
+			d.during(r, 4, 25*s, func(h, n string, on bool) { d.net.Block(h, n, on) })
+			time.Sleep(3*s + ms(r.IntN(3000)))
+			d.cancel(labels[(lead+1)%3], 16, 20*s)
+			time.Sleep(20*s + ms(r.IntN(20000)))
+			part(false)
+			d.w.KeepCopies(false)
+			time.Sleep(10 * s)
+		}},
+		{name: "all controllers are away for longer than a lease, machines hang and go on", machines: 6, n: 30, every: s, jobs: mixed, script: func(d *day, r *rand.Rand) {
+			d.cancel(labels[0], 8, 2*s)
+			time.Sleep(ms(r.IntN(1000)))
+			for i := range labels {
+				d.crash(i)
+			}
+			time.Sleep(time.Duration(9+r.IntN(8)) * s)
+			d.hang(r, 3)
+			for i := range labels {
+				d.start(i)
+			}
+			d.w.KeepCopies(true)
+			time.Sleep(5 * s)
+			d.fall(ms(500))
+			d.w.KeepCopies(false)
+			d.cancel(labels[1], 16, 10*s)
+			time.Sleep(20 * s)
+		}},
+		{name: "long tasks on machines that do not hear the new leader", machines: 6, n: 24, every: s, jobs: long, script: func(d *day, r *rand.Rand) {
+			for i := range 3 {
+				d.during(r, 2, time.Duration(4+r.IntN(12))*s, func(h, n string, on bool) {
+					if i%2 == 0 {
+						d.net.Mute(h, n, on)
+					} else {
+						d.net.Cut(h, n, on)
+					}
+				})
+				d.fall(ms(300 + r.IntN(4000)))
+				time.Sleep(18 * s)
+			}
+		}},
+		{name: "refused and down in turn while users cancel and ask", machines: 6, n: 40, every: s, jobs: mixed, script: func(d *day, r *rand.Rand) {
+			d.w.CloseLooks = true
+			for i := range 3 {
+				lead := max(0, d.leading())
+				d.net.Refuse(labels[lead], "state:1", true)
+				time.Sleep(ms(200 + r.IntN(4000)))
+				d.cancel(labels[(lead+1)%3], 8*(i+1), 12*s)
+				time.Sleep(ms(r.IntN(2000)))
+				d.w.State.SetDown(true)
+				time.Sleep(time.Duration(3+r.IntN(45)) * s)
+				d.net.Refuse(labels[lead], "state:1", false)
+				d.w.State.SetDown(false)
+				time.Sleep(10 * s)
+			}
+		}},
+	} {
+		t.Run(m.name, func(t *testing.T) {
+			if m.seeds = 2; os.Getenv("SEEDS") != "" {
+				n, err := strconv.Atoi(os.Getenv("SEEDS"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				m.seeds = n // to look for more
+			}
+			m.run(t)
+		})
+	}
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -44,7 +44,8 @@
 	broken   []string
 	started  int
 	Capacity int
-	Mistaken string // class of jobs that fail on every machine
+	Boot     time.Duration // of rented machines; 0: by chance
+	Mistaken string        // class of jobs that fail on every machine
 
 	over        atomic.Bool
 	CloseLooks  bool // users ask at all nodes at once when something is new
@@ -110,8 +111,17 @@
 	for _, g := range tx.Guards {
 		guarded[g.Key] = g.Stamp
 	}
+	jobs := map[string]bool{}
+	for _, g := range tx.Guards {
+		if g.Stamp != 0 {
+			jobs[strings.TrimPrefix(g.Key, ledger.JobPrefix)] = true
+		}
+	}
 	for _, c := range tx.Apply {
 		key := c.Set + c.Drop
+		if uid, _, ok := ledger.SplitPieceKey(c.Set); ok && guarded[c.Set] == 0 && !jobs[uid] {
+			w.rule("unguarded", "%s is made without a guard of its job: %v", key, tx.Guards)
+		}
 		if float64(len(c.Value)) > limits.ValueKb*1024 {
 			w.rule("limits", "the value of %s has %d bytes", key, len(c.Value))
 		}
@@ -327,8 +337,11 @@
 	}
 	var names []string
 	for range n {
-		boot := 5 + w.Net.Chance(15)
-		names = append(names, w.add(q.Rig, q.Yard, q.Standby, time.Duration(boot)*time.Second))
+		boot := w.Boot
+		if boot == 0 {
+			boot = time.Duration(5+w.Net.Chance(15)) * time.Second
+		}
+		names = append(names, w.add(q.Rig, q.Yard, q.Standby, boot))
 	}
 	w.bookings[q.Booking] = names
 	reply(rw, http.StatusOK, wire.HostNames{Hosts: names})
