A job lacking any field that may not be null is malformed; a known job is never refused

Cause: Together, Scatter, Standby, ExpectS, MarkS and StowS could be left out, though the protocol lets only what may be null be left out; and a malformed repeat of an accepted job got 400. TestWorkNeedsItsFields and TestUsersAreAnswered have the new cases and fail on the code before.

--- a/internal/api/load_test.go
+++ b/internal/api/load_test.go
@@ -104,7 +104,7 @@
 			state = tc.state
 			taken, last := 0, ""
 			for i := range 20 {
-				body := fmt.Sprintf(`{"Uid":"run-%06d","Berth":"b","Crew":"crew","Shape":"sweep","Rank":"critical","Legs":1,"Cores":1,"Gpus":1,"RamGb":1,"Rollout":"i","ImageGb":1}`, i)
+				body := fmt.Sprintf(`{"Uid":"run-%06d","Berth":"b","Crew":"crew","Shape":"sweep","Rank":"critical","Legs":1,"Cores":1,"Gpus":1,"RamGb":1,"Rollout":"i","ImageGb":1,"Together":false,"Scatter":false,"Standby":false,"ExpectS":5,"MarkS":0,"StowS":0}`, i)
 				began := time.Now()
 				rec := httptest.NewRecorder()
 				n.echo.ServeHTTP(rec, httptest.NewRequest(http.MethodPost, "/work", strings.NewReader(body)))
--- a/internal/api/users.go
+++ b/internal/api/users.go
@@ -126,28 +126,21 @@
 	}
 	w, err := wire.ParseWork(body)
 	if err != nil {
-		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+		uid, ok := wire.UidOf(body)
+		if !ok {
+			return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+		}
+		return n.refuse(c, uid, http.StatusBadRequest, err.Error())
 	}
-	ctx, cancel := userContext(c, submitWait)
-	defer cancel()
 	cat := n.cat.Load()
-	why, never := "", false
-	if cat != nil {
-		why, never = n.refusal(cat, &w)
+	if cat == nil {
+		return n.refuse(c, w.Uid, http.StatusServiceUnavailable, "the machine types are not known yet")
 	}
-	if cat == nil || never {
-		// A job that is known already is not refused.
-		view, known, err := n.lookup(ctx, w.Uid)
-		switch {
-		case err != nil:
-			return errElsewhere
-		case known:
-			return c.JSON(http.StatusOK, view)
-		case cat == nil:
-			return retryLater(c, "the machine types are not known yet")
-		}
-		return c.JSON(http.StatusUnprocessableEntity, wire.Fault{Error: why})
+	if why, never := n.refusal(cat, &w); never {
+		return n.refuse(c, w.Uid, http.StatusUnprocessableEntity, why)
 	}
+	ctx, cancel := userContext(c, submitWait)
+	defer cancel()
 	rec := ledger.Job{Spec: w, Status: wire.JobQueued, AtMs: time.Now().UnixMilli(), Per: ledger.LegsPerPiece(n.cfg.ValueBytes())}
 	value := ledger.Encode(rec)
 	if len(value) > n.cfg.ValueBytes() {
@@ -178,6 +171,22 @@
 	return c.JSON(http.StatusCreated, wire.JobView{Uid: w.Uid, Status: wire.JobQueued})
 }
 
+// refuse answers a submission that is not taken, unless the job is known already:
+// one that was accepted is never refused later.
+func (n *Node) refuse(c echo.Context, uid string, status int, why string) error {
+	ctx, cancel := userContext(c, submitWait)
+	defer cancel()
+	switch view, known, err := n.lookup(ctx, uid); {
+	case err != nil:
+		return errElsewhere
+	case known:
+		return c.JSON(http.StatusOK, view)
+	case status == http.StatusServiceUnavailable:
+		return retryLater(c, why)
+	}
+	return echo.NewHTTPError(status, why)
+}
+
 // refusal tells why a job can never run.
 func (n *Node) refusal(cat *wire.Catalog, w *wire.Work) (string, bool) {
 	team, ok := n.cfg.Team(w.Crew)
--- a/internal/standin/answers_test.go
+++ b/internal/standin/answers_test.go
@@ -54,7 +54,7 @@
 }
 
 func work(uid, change string) string {
-	w := fmt.Sprintf(`{"Uid":%q,"Berth":"b","Crew":"crew","Shape":"standing","Rank":"high","Legs":2,"Cores":4,"Gpus":1,"RamGb":8,"Rollout":"img","ImageGb":2,"Rigs":null}`, uid)
+	w := fmt.Sprintf(`{"Uid":%q,"Berth":"b","Crew":"crew","Shape":"standing","Rank":"high","Legs":2,"Cores":4,"Gpus":1,"RamGb":8,"Rollout":"img","ImageGb":2,"Rigs":null,"Together":false,"Scatter":false,"Standby":false,"ExpectS":0,"MarkS":0,"StowS":0}`, uid)
 	if change != "" {
 		old, with, _ := strings.Cut(change, "=>")
 		w = strings.Replace(w, old, with, 1)
@@ -69,6 +69,9 @@
 		d.expect(400, "n0", "POST", w, "[]")
 		d.expect(400, "n0", "POST", w, work("job-1", ""))
 		d.expect(413, "n0", "POST", w, strings.Repeat(" ", wire.MaxBody)+work("run-000001", ""))
+		d.expect(400, "n0", "POST", w, work("run-000001", `"Legs":2,=>`))
+		d.expect(400, "n0", "POST", w, work("run-000001", `"Standby":false,=>`))
+		d.expect(400, "n0", "POST", w, work("run-000001", `"Cores":4=>"Cores":"4"`))
 		d.expect(422, "n0", "POST", w, work("run-000001", `"crew"=>"nobody"`))
 		d.expect(422, "n0", "POST", w, work("run-000001", `"Gpus":1=>"Gpus":9`))
 		d.expect(422, "n0", "POST", w, work("run-000001", `"Rigs":null=>"Rigs":["no-such"]`))
@@ -81,6 +84,7 @@
 		for _, n := range labels {
 			d.expect(200, n, "POST", w, work("run-000001", ""))
 			d.expect(200, n, "POST", w, work("run-000001", `"crew"=>"nobody"`))
+			d.expect(200, n, "POST", w, work("run-000001", `"Legs":2,=>`)) // nor is a job that is known malformed
 			d.expect(200, n, "GET", "/ready", "")
 		}
 		time.Sleep(10 * time.Second)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -87,12 +87,12 @@
 	ImageGb  float64
 	Rigs     []string `json:",omitempty"`
 	Yard     string   `json:",omitempty"`
-	Together bool     `json:",omitempty"`
-	Scatter  bool     `json:",omitempty"`
-	Standby  bool     `json:",omitempty"`
-	ExpectS  float64  `json:",omitempty"`
-	MarkS    float64  `json:",omitempty"`
-	StowS    float64  `json:",omitempty"`
+	Together bool
+	Scatter  bool
+	Standby  bool
+	ExpectS  float64
+	MarkS    float64
+	StowS    float64
 	DueS     *float64 `json:",omitempty"`
 }
 
@@ -127,7 +127,8 @@
 )
 
 // ParseWork decodes and validates a submission. Every error it returns means
-// that the body is malformed (400).
+// that the body is malformed (400). Only what may be null may be left out: Rigs,
+// Yard and DueS.
 func ParseWork(body []byte) (Work, error) {
 	var in workIn
 	if t := bytes.TrimLeft(body, " \t\r\n"); len(t) == 0 || t[0] != '{' {
@@ -163,22 +164,15 @@
 		return Work{}, errors.New("Rank must be critical, high, standard or best_effort")
 	}
 	for _, f := range []struct {
-		name     string
-		in       *float64
-		out      *float64
-		required bool
-		positive bool
+		name string
+		in   *float64
+		out  *float64
 	}{
-		{"Cores", in.Cores, &w.Cores, true, false}, {"Gpus", in.Gpus, &w.Gpus, true, false},
-		{"RamGb", in.RamGb, &w.RamGb, true, false}, {"ImageGb", in.ImageGb, &w.ImageGb, true, false},
-		{"ExpectS", in.ExpectS, &w.ExpectS, false, false}, {"MarkS", in.MarkS, &w.MarkS, false, false},
-		{"StowS", in.StowS, &w.StowS, false, false},
+		{"Cores", in.Cores, &w.Cores}, {"Gpus", in.Gpus, &w.Gpus}, {"RamGb", in.RamGb, &w.RamGb}, {"ImageGb", in.ImageGb, &w.ImageGb},
+		{"ExpectS", in.ExpectS, &w.ExpectS}, {"MarkS", in.MarkS, &w.MarkS}, {"StowS", in.StowS, &w.StowS},
 	} {
 		if f.in == nil {
-			if f.required {
-				return Work{}, fmt.Errorf("%s is missing", f.name)
-			}
-			continue
+			return Work{}, fmt.Errorf("%s is missing", f.name)
 		}
 		if *f.in < 0 || *f.in > maxAmount {
 			return Work{}, fmt.Errorf("%s is out of range", f.name)
@@ -214,17 +208,28 @@
 		}
 		w.Yard = *in.Yard
 	}
-	setBool := func(in *bool, out *bool) {
-		if in != nil {
-			*out = *in
+	for _, f := range []struct {
+		name string
+		in   *bool
+		out  *bool
+	}{{"Together", in.Together, &w.Together}, {"Scatter", in.Scatter, &w.Scatter}, {"Standby", in.Standby, &w.Standby}} {
+		if f.in == nil {
+			return Work{}, fmt.Errorf("%s is missing", f.name)
 		}
+		*f.out = *f.in
 	}
-	setBool(in.Together, &w.Together)
-	setBool(in.Scatter, &w.Scatter)
-	setBool(in.Standby, &w.Standby)
 	return w, nil
 }
 
+// UidOf finds the job's id in a submission that may be malformed otherwise.
+func UidOf(body []byte) (string, bool) {
+	var in struct{ Uid string }
+	if err := json.Unmarshal(body, &in); err != nil && in.Uid == "" {
+		return "", false
+	}
+	return in.Uid, ValidUid(in.Uid)
+}
+
 // JobView answers submissions, polls and withdrawals.
 type JobView struct {
 	Uid     string
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -59,7 +59,8 @@
 
 // A field that is missing, null or of another type makes the body malformed.
 func TestWorkNeedsItsFields(t *testing.T) {
-	required := []string{"Uid", "Berth", "Crew", "Shape", "Rank", "Legs", "Cores", "Gpus", "RamGb", "Rollout", "ImageGb"}
+	required := []string{"Uid", "Berth", "Crew", "Shape", "Rank", "Legs", "Cores", "Gpus", "RamGb", "Rollout", "ImageGb",
+		"Together", "Scatter", "Standby", "ExpectS", "MarkS", "StowS"}
 	rapid.Check(t, func(t *rapid.T) {
 		data, _ := json.Marshal(genWork(t))
 		var m map[string]any
@@ -83,7 +84,7 @@
 }
 
 func TestWorkRefusesWhatIsOutOfRange(t *testing.T) {
-	good := `{"Uid":"run-000412","Berth":"train","Crew":"vision","Shape":"sweep","Rank":"high","Legs":16,"Cores":8.0,"Gpus":1.0,"RamGb":64.0,"Rollout":"img-07","ImageGb":6.2,"Rigs":null,"Yard":null,"DueS":null}`
+	good := `{"Uid":"run-000412","Berth":"train","Crew":"vision","Shape":"sweep","Rank":"high","Legs":16,"Cores":8.0,"Gpus":1.0,"RamGb":64.0,"Rollout":"img-07","ImageGb":6.2,"Rigs":null,"Yard":null,"Together":false,"Scatter":false,"Standby":false,"ExpectS":0,"MarkS":0,"StowS":0,"DueS":null}`
 	if _, err := ParseWork([]byte(good)); err != nil {
 		t.Fatal(err)
 	}
@@ -92,6 +93,8 @@
 		{`"sweep"`, `"loop"`}, {`"high"`, `"top"`}, {`"Legs":16`, `"Legs":0`}, {`"Legs":16`, `"Legs":1.5`},
 		{`"Legs":16`, `"Legs":100001`}, {`"Cores":8.0`, `"Cores":-1`}, {`"ImageGb":6.2`, `"ImageGb":-1`},
 		{`"Rigs":null`, `"Rigs":[]`}, {`"Yard":null`, `"Yard":""`}, {`"DueS":null`, `"DueS":-3`},
+		{`"Legs":16,`, ``}, {`"Cores":8.0,`, ``}, {`"Together":false,`, ``}, {`"Scatter":false,`, ``}, {`"Standby":false,`, ``},
+		{`"ExpectS":0,`, ``}, {`"MarkS":0,`, ``}, {`"StowS":0,`, ``}, {`"Crew":"vision",`, ``}, {`"Cores":8.0`, `"Cores":1e300`}, {`"Cores":8.0`, `"Cores":"8"`},
 		{`{"Uid"`, `[{"Uid"`}, {`"DueS":null}`, `"DueS":null`},
 	} {
 		bad := strings.Replace(good, c[0], c[1], 1)
