Commits that are overtaken by answered requests are given up; lost submissions are recorded once more

A commit now ends with unknown outcome once requests that were begun well after it are answered; while nothing else is answered either it waits as before, so that a slow node or link gets no wave of retries. A submission is then recorded once more under the same guards, of which one at most applies.

--- a/internal/api/load_test.go
+++ b/internal/api/load_test.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -129,3 +130,54 @@
 		})
 	}
 }
+
+// losing is a state service that loses the answers to the first commits.
+type losing struct {
+	always
+	lose int
+}
+
+func (l *losing) RoundTrip(r *http.Request) (*http.Response, error) {
+	if strings.HasSuffix(r.URL.Path, "/commit") {
+		if l.lose--; l.lose >= 0 {
+			<-r.Context().Done()
+			return nil, r.Context().Err()
+		}
+	}
+	return l.always.RoundTrip(r)
+}
+
+// A submission whose commit gets no answer is recorded once more while the state
+// service answers other requests, and its user need not come back: each took
+// 1.25 s and then another node.
+func TestLostAnswersAreNotWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := &config.Config{}
+		cfg.Cluster.Workers.LeaseS, cfg.Cluster.Workers.ReportS, cfg.Cluster.State.ValueKb = 10, 1, 8
+		cfg.Cluster.Teams = []config.Team{{Name: "crew"}}
+		cfg.Cluster.State.Rps, cfg.Cluster.State.WriteRps = 100, 100
+		cfg.Cluster.Cloud.Rps, cfg.Cluster.Limits.MaxConnections = 1, 100
+		state := &losing{always(http.StatusOK), 1}
+		n := New(cfg, Network{State: state})
+		n.cat.Store(&wire.Catalog{Rigs: []wire.Rig{{Sku: "g", Cores: 8, Gpus: 8, RamGb: 8, Yards: []string{"a"}}}})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			for ctx.Err() == nil {
+				if _, _, err := n.store.Get(ctx, "e/term"); err != nil {
+					t.Error(err)
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+		time.Sleep(time.Second)
+		begun := time.Now()
+		rec := httptest.NewRecorder()
+		body := `{"Uid":"run-000001","Berth":"b","Crew":"crew","Shape":"sweep","Rank":"critical","Legs":1,"Cores":1,"Gpus":1,"RamGb":1,"Rollout":"i","ImageGb":1,"Together":false,"Scatter":false,"Standby":false,"ExpectS":5,"MarkS":0,"StowS":0}`
+		n.echo.ServeHTTP(rec, httptest.NewRequest(http.MethodPost, "/work", strings.NewReader(body)))
+		if took := time.Since(begun); rec.Code != http.StatusCreated || took > time.Second {
+			t.Errorf("answered %d after %s", rec.Code, took)
+		}
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/api/users.go
+++ b/internal/api/users.go
@@ -149,10 +149,16 @@
 	// When many come at once, those of higher rank are taken first: each rank
 	// leaves a quarter of the budget to each rank above it.
 	leave := float64(wire.Critical.Level()-w.Rank.Level()) / float64(wire.Critical.Level())
-	_, err = n.store.Commit(store.User(ctx, leave), wire.Commit{
+	tx := wire.Commit{
 		Guards: []wire.Guard{{Key: ledger.JobKey(w.Uid)}, {Key: ledger.FinalKey(w.Uid)}},
 		Apply:  []wire.Change{{Set: ledger.JobKey(w.Uid), Value: value}},
-	})
+	}
+	_, err = n.store.Commit(store.User(ctx, leave), tx)
+	for errors.Is(err, store.ErrUnknown) && ctx.Err() == nil {
+		// Its answer is lost: once more. If it was carried out, or will be, the
+		// guards let only one of them through.
+		_, err = n.store.Commit(store.User(ctx, leave), tx)
+	}
 	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
 		view, known, err := n.lookup(ctx, w.Uid)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -72,6 +72,10 @@
 	userShare    = 0.6
 )
 
+// overtakenShare of the time-out of a request is what a commit waits at least
+// before it counts as overtaken.
+const overtakenShare = 5
+
 // New makes a client that speaks over rt. rps and writeRps are the limits of the
 // service, which all nodes share.
 func New(addr string, rps, writeRps float64, timeout time.Duration, rt http.RoundTripper) *Client {
@@ -201,6 +205,11 @@
 	} else if err := c.reqs.Wait(ctx); err != nil {
 		return 0, nil, fmt.Errorf("%w: over this node's budget", ErrRefused)
 	}
+	if path == "/commit" {
+		var stop context.CancelFunc
+		ctx, stop = c.overtaken(ctx)
+		defer stop()
+	}
 	var rd io.Reader
 	if body != nil {
 		data, err := json.Marshal(body)
@@ -287,6 +296,38 @@
 	}
 }
 
+// overtaken makes a context that ends when a request is overtaken: requests that
+// were begun well after it have been answered, and it has not. Its answer is then
+// lost or the service holds it up, and waiting on would only hold up what waits
+// for the outcome. While nothing else is answered either, as on a slow node or
+// link, it says nothing: giving up would only add requests.
+func (c *Client) overtaken(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	begun := time.Since(c.epoch)
+	patience := c.timeout / overtakenShare
+	var look func()
+	var mu sync.Mutex
+	var timer *time.Timer
+	look = func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if time.Duration(c.proven.Load()) > begun+patience/2 {
+			cancel()
+		} else if ctx.Err() == nil {
+			timer = time.AfterFunc(patience/4, look)
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(patience, look)
+	return ctx, func() {
+		cancel()
+		mu.Lock()
+		defer mu.Unlock()
+		timer.Stop()
+	}
+}
+
 // Commit applies a guarded transaction and returns its epoch. Its error is a
 // *ConflictError, *BusyError, ErrNoHold, ErrRefused (nothing happened) or
 // ErrUnknown.
