--- a/internal/standin/judge.go
+++ b/internal/standin/judge.go
@@ -161,6 +161,53 @@
 	clear(w.waits)
 }
 
+// maxBegin is how long the largest jobs of a class may take to begin.
+const maxBegin = 4 * time.Minute
+
+// JudgeServed looks, at the end of a day, at who was served of those that were
+// accepted and not cancelled by their users before they could be: at least half
+// of each class, of each team and of the largest jobs of each class, and these
+// within four minutes.
+func (w *World) JudgeServed() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	largest := map[string]int{}
+	for _, s := range w.specs {
+		largest[s.Berth] = max(largest[s.Berth], s.Legs)
+	}
+	all, served := map[string]int{}, map[string]int{}
+	for uid, at := range w.accepted {
+		s := w.specs[uid]
+		begun, began := w.begins[uid]
+		if w.asked[uid] && !began {
+			continue
+		}
+		groups := []string{"class " + s.Berth, "team " + s.Crew}
+		if s.Legs == largest[s.Berth] {
+			groups = append(groups, "largest of "+s.Berth)
+			if !began || begun.Sub(at) > maxBegin {
+				w.breach("late_begin", "%s, among the largest of its class, had not begun after four minutes", uid)
+			}
+		}
+		for _, g := range groups {
+			all[g]++
+			if s.Shape == wire.Standing && began || w.final[uid].status == wire.JobDone {
+				served[g]++
+			}
+		}
+		if s.Shape != wire.Standing && w.asked[uid] { // half done when it was called off
+			for _, g := range groups {
+				all[g]--
+			}
+		}
+	}
+	for g, n := range all {
+		if n > 0 && 2*served[g] < n {
+			w.breach("unserved", "%s: %d of %d", g, served[g], n)
+		}
+	}
+}
+
 // maxWait is how long a job may wait, once all is calm, while a machine that
 // fits has room and its team is under its limit.
 const maxWait = 90 * time.Second
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -1,8 +1,10 @@
 package standin_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -11,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"lotusstile.dev/lotusstile/internal/standin"
 	"lotusstile.dev/lotusstile/wire"
 )
 
@@ -24,12 +27,8 @@
 	every    time.Duration              // one after the other
 	script   func(d *day, r *rand.Rand) // the troubles, from 30 s on
 	seeds    int                        // how many timings are drawn
-	check    func(t *testing.T, d *day) // what else is expected
 }
 
-// left says how long a day goes on after its script.
-const left = 240 * time.Second
-
 // meet plays a meeting and returns the rules that were broken.
 func meet(t *testing.T, m meeting, seed uint64) (broken []string) {
 	synctest.Test(t, func(t *testing.T) {
@@ -67,9 +66,7 @@
 		if d.w.Started() == 0 {
 			t.Error("no task was started")
 		}
-		if m.check != nil {
-			m.check(t, d)
-		}
+		d.w.JudgeServed()
 		broken = d.w.Broken()
 		d.end()
 	})
@@ -254,6 +251,32 @@
 	return s, stay
 }
 
+// rush are more jobs than there is room for, of every rank; some are large.
+func rush(i int, r *rand.Rand) (wire.Work, time.Duration) {
+	s, stay := mixed(i, r)
+	if i%10 == 6 {
+		s.Legs = 24
+	}
+	if s.Shape == wire.Standing {
+		stay = time.Duration(15+r.IntN(30)) * time.Second
+	}
+	return s, stay
+}
+
+// inZone are jobs that keep to one zone, or spread over both.
+func inZone(i int, r *rand.Rand) (wire.Work, time.Duration) {
+	s, stay := mixed(i, r)
+	switch s.Yard = ""; i % 3 {
+	case 0:
+		s.Together = true
+	case 1:
+		s.Yard = []string{"a", "b"}[r.IntN(2)]
+	case 2:
+		s.Scatter = true
+	}
+	return s, stay
+}
+
 // hosts calls f for every machine that there may be, chosen by chance one in n.
 func (d *day) hosts(r *rand.Rand, n int, f func(host string)) {
 	for k := range 40 {
@@ -384,6 +407,27 @@
 			}
 			time.Sleep(15 * s)
 		}},
+		{name: "more work than room, urgent and not, over slow links", machines: 3, n: 60, every: s / 2, jobs: rush, script: func(d *day, r *rand.Rand) {
+			d.w.Capacity = 6
+			d.net.Slow(ms(150 + r.IntN(150)))
+			time.Sleep(10*s + ms(r.IntN(3000)))
+			d.fall(ms(300 + r.IntN(4000)))
+			d.cancel(labels[0], 20, 5*s)
+			time.Sleep(40 * s)
+		}},
+		{name: "jobs of one zone, arrays too, lose machines", machines: 6, n: 30, every: s, jobs: inZone, script: func(d *day, r *rand.Rand) {
+			for range 4 {
+				for range 2 {
+					if k := d.w.Worker(); k != nil {
+						k.Die()
+					}
+				}
+				d.hang(r, 2)
+				time.Sleep(5*s + ms(r.IntN(4000)))
+				d.fall(ms(300 + r.IntN(3000)))
+			}
+			time.Sleep(15 * s)
+		}},
 		{name: "a zone with workers and a controller is cut off for longer than a lease", machines: 8, n: 40, every: s / 2, jobs: mixed, script: func(d *day, r *rand.Rand) {
 			in := r.IntN(3)
 			stateless := r.IntN(2) == 0
@@ -491,3 +535,62 @@
 		})
 	}
 }
+
+// The judge sees answers that break a rule, and jobs that are not served.
+func TestJudgeOfAnswersCanFail(t *testing.T) {
+	quiet(t)
+	synctest.Test(t, func(t *testing.T) {
+		nw := standin.NewNetwork(rand.New(rand.NewPCG(1, 1)))
+		w := standin.NewWorld(nodeConfig(t, 0), nw, labels[:1], catalog)
+		w.AddMachines("g8", "a", 1)
+		status, view := 0, wire.JobView{}
+		nw.Attach("n0", http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+			rw.WriteHeader(status)
+			if err := json.NewEncoder(rw).Encode(view); err != nil {
+				t.Error(err)
+			}
+		}), nil)
+		go w.Watch(time.Now().Add(10 * time.Minute))
+		step := func(rule string, code int, told wire.JobStatus, ask func()) {
+			t.Helper()
+			status, view.Status = code, told
+			before := len(w.Broken())
+			ask()
+			news := strings.Join(w.Broken()[before:], "\n")
+			if rule == "" && news != "" || rule != "" && !strings.Contains(news, rule) {
+				t.Errorf("expected %q, the judge sees %q", rule, news)
+			}
+		}
+		jobs := make([]wire.Work, 4)
+		for i := range jobs {
+			jobs[i], _ = replicas(0)(i, rand.New(rand.NewPCG(1, 1)))
+			if i < 3 {
+				w.Upload(jobs[i])
+			}
+		}
+		poll := func(i int) func() { return func() { w.Poll("n0", jobs[i].Uid); time.Sleep(time.Second) } }
+		submit := func(i int) func() { return func() { w.Submit("n0", jobs[i]); time.Sleep(time.Second) } }
+		step("", 404, "", poll(0))
+		step("", 503, "", submit(0))
+		step("", 201, wire.JobQueued, submit(0))
+		step("forgotten", 404, "", poll(0))
+		step("forgotten", 400, "", submit(0))
+		step("forgotten", 422, "", func() { w.CloseLook(jobs[0].Uid) })
+		step("invented", 200, wire.JobQueued, poll(3))
+		step("not_done", 200, wire.JobDone, poll(0))
+		step("went_back", 200, wire.JobQueued, poll(0))
+		step("went_back", 200, wire.JobAborted, poll(1)) // nobody cancelled it
+		step("went_back", 200, wire.JobRunning, func() { w.Withdraw("n0", jobs[2].Uid) })
+		step("", 200, wire.JobAborted, func() { w.Withdraw("n0", jobs[2].Uid); time.Sleep(time.Second) })
+		step("went_back", 200, wire.JobRunning, func() { w.CloseLook(jobs[2].Uid) })
+		w.Upload(jobs[3])
+		step("", 201, wire.JobQueued, submit(3))
+		w.Calm()
+		step("", 200, wire.JobQueued, func() { time.Sleep(80 * time.Second) })
+		step("left_waiting", 200, wire.JobQueued, func() { time.Sleep(20 * time.Second) })
+		step("late_begin", 200, wire.JobQueued, w.JudgeServed)
+		step("unserved", 200, wire.JobQueued, w.JudgeServed)
+		w.StopAll()
+		time.Sleep(2 * time.Minute)
+	})
+}
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -28,8 +28,9 @@
 	block  map[[2]string]bool // requests from, to are lost
 	Late   float64            // share of lost requests that are carried out later
 
-	lateWrites float64 // share of commits that get no answer
-	atOnce     bool    // they are carried out at once, else after others
+	slow       time.Duration // what every request and answer takes more, at most
+	lateWrites float64       // share of commits that get no answer
+	atOnce     bool          // they are carried out at once, else after others
 }
 
 // NewNetwork makes a network that is whole.
@@ -103,6 +104,13 @@
 	set(n.block, from, to, on)
 }
 
+// Slow makes every link slower by up to extra each way.
+func (n *Network) Slow(extra time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.slow = extra
+}
+
 // LateWrites lets a share of commits get no answer: they are carried out 2 to
 // 12 s later, after newer ones, or at once.
 func (n *Network) LateWrites(share float64, atOnce bool) {
@@ -119,7 +127,7 @@
 	clear(n.mute)
 	clear(n.refuse)
 	clear(n.block)
-	n.lateWrites = 0
+	n.lateWrites, n.slow = 0, 0
 }
 
 var errNoAnswer = errors.New("no answer")
@@ -150,6 +158,9 @@
 	late := p.n.rng.Float64() < p.n.Late
 	lateness := time.Duration(p.n.rng.Int64N(int64(40 * time.Second)))
 	delay := time.Duration(500+p.n.rng.IntN(2500)) * time.Microsecond
+	if p.n.slow > 0 {
+		delay += time.Duration(p.n.rng.Int64N(int64(p.n.slow)))
+	}
 	p.n.mu.Unlock()
 	ctx := req.Context()
 	serve := func(ctx context.Context, h http.Handler) *httptest.ResponseRecorder {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -37,6 +37,7 @@
 	asked    map[string]bool            // jobs that their users have asked to cancel
 	accepted map[string]time.Time       // when a user was told
 	final    map[string]finalWord       // what a user was told in the end
+	begins   map[string]time.Time       // when the first task of a job started
 	waits    map[string]time.Time       // since when a job waits although there is room
 	calm     time.Time                  // when all troubles were over
 	copies   [][]byte                   // reports that are kept for the next leader
@@ -64,7 +65,7 @@
 	w := &World{Cfg: cfg, Net: nw, State: NewState(), Catalog: cat, Nodes: nodes, begun: time.Now(), workers: map[string]*Worker{},
 		bookings: map[string][]string{}, specs: map[string]wire.Work{}, done: map[string]map[int]bool{},
 		on: map[string]map[string]bool{}, aborted: map[string]time.Time{}, asked: map[string]bool{}, accepted: map[string]time.Time{},
-		final: map[string]finalWord{}, waits: map[string]time.Time{}, Capacity: 12}
+		final: map[string]finalWord{}, waits: map[string]time.Time{}, begins: map[string]time.Time{}, Capacity: 12}
 	w.State.Judge = w.judgeCommit
 	nw.Attach(cfg.Services.State, w.State, nil)
 	nw.Attach(cfg.Services.Cloud, http.HandlerFunc(w.cloud), nil)
@@ -193,6 +194,9 @@
 		w.breach("invented", "%s starts, but nobody submitted it", leg)
 		return
 	}
+	if _, begun := w.begins[uid]; !begun {
+		w.begins[uid] = time.Now()
+	}
 	if w.on[leg] == nil {
 		w.on[leg] = map[string]bool{}
 	}
