A leader that may not answer reports judges nobody's silence

While its knowledge of withdrawals is too old to answer, a leader now judges no silence, and every machine has its time again from then on. TestWhoCouldNotBeHeardIsNotGivenUp (TestStoodStill with two more cases) fails on the code before: 40 of 40 given up.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -91,6 +91,7 @@
 	last           wire.RoundStatus
 	lastAt         time.Time
 	steady         time.Time
+	away           bool // no reports are answered: nobody's silence is judged
 }
 
 // New makes the controller of a term.
--- a/internal/controller/lost.go
+++ b/internal/controller/lost.go
@@ -49,11 +49,24 @@
 // excuse gives every machine the time again that it has to report: a leader
 // that stood still does not know who reported meanwhile.
 func (c *Controller) excuse(now time.Time) {
-	slog.Warn("stood still", "term", c.term, "for", now.Sub(c.lastAt).String())
 	c.steady = now
 	c.fleet.Each(func(m *fleet.Machine) { m.Heard, m.Reported = now, now })
 }
 
+// lookAway judges no silence while this node answers no reports, since what it
+// knows of withdrawals is too old: it then hears nobody, and when it answers
+// again the workers come back one after the other. After an outage of a minute a
+// leader had given up 550 of 700 machines.
+func (c *Controller) lookAway(now time.Time) {
+	away := now.Sub(c.Mirror.Fresh()) > c.Config.KnowledgeLimit()
+	if away != c.away {
+		slog.Warn("reports are not answered on old knowledge", "term", c.term, "away", away)
+	}
+	if c.away = away; away {
+		c.excuse(now)
+	}
+}
+
 // silence is how many machines of a zone are silent.
 type silence struct {
 	total  int
--- a/internal/controller/machines_test.go
+++ b/internal/controller/machines_test.go
@@ -118,37 +118,61 @@
 	spent(false, "a while later")
 }
 
-// A leader that stood still does not know who reported meanwhile: it gives up
-// nobody until they have had their time again.
-func TestStoodStill(t *testing.T) {
-	now := time.Unix(1000, 0)
-	c := watched(&now)
-	c.cat = &wire.Catalog{Rigs: []wire.Rig{{Sku: "g8", Cores: 64, Gpus: 8, RamGb: 512, Yards: []string{"a", "b"}}}}
-	c.Heard, c.Rounded = func() []string { return nil }, func(time.Duration) {}
-	lost := func() int {
-		n := 0
-		c.fleet.Each(func(m *fleet.Machine) {
-			if m.State == fleet.Returning {
-				n++
+// A leader that stood still, or that answered no reports because the state service
+// was away for too long, does not know who would have reported meanwhile: it gives
+// up nobody until they have had their time again.
+func TestWhoCouldNotBeHeardIsNotGivenUp(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		step   time.Duration // from round to round until it is over
+		knows  bool          // the state service is read all the time
+		silent time.Duration
+		want   int
+	}{
+		{"stood still", 25 * time.Second, true, 25 * time.Second, 0},
+		{"an outage", time.Second / 2, false, 90 * time.Second, 0},
+		{"silent machines", time.Second / 2, true, 30 * time.Second, 20}, // the others are in a zone without a controller
+	} {
+		now := time.Unix(1000, 0)
+		c := watched(&now)
+		c.cat = &wire.Catalog{Rigs: []wire.Rig{{Sku: "g8", Cores: 64, Gpus: 8, RamGb: 512, Yards: []string{"a", "b"}}}}
+		c.Heard, c.Rounded = func() []string { return nil }, func(time.Duration) {}
+		lost := func() int {
+			n := 0
+			c.fleet.Each(func(m *fleet.Machine) {
+				if m.State == fleet.Returning {
+					n++
+				}
+			})
+			return n
+		}
+		tick := uint64(0)
+		round := func(step time.Duration, knows, reports bool) {
+			now = now.Add(step)
+			if knows {
+				c.Mirror.Reset(nil, 0, now)
 			}
-		})
-		return n
-	}
-	for i := range 40 {
-		c.hearFrom(i, 1, now)
-	}
-	c.round(time.Second)
-	now = now.Add(25 * time.Second)
-	c.round(time.Second)
-	if n := lost(); n > 0 {
-		t.Errorf("%d machines are given up on waking", n)
-	}
-	for range 120 { // none of them reports now, either
-		now = now.Add(time.Second / 2)
-		c.round(time.Second)
-	}
-	if n := lost(); n != 40 {
-		t.Errorf("%d machines are given up after a minute, expected 40", n)
+			// In an outage reports are answered for as long as they may be.
+			if tick++; reports || !knows && now.Sub(c.Mirror.Fresh()) <= c.Config.KnowledgeLimit() {
+				for i := range 40 {
+					c.hearFrom(i, tick, now)
+				}
+			}
+			c.round(time.Second)
+		}
+		round(0, true, true)
+		for over := now.Add(tc.silent); now.Before(over); {
+			round(tc.step, tc.knows, false)
+		}
+		if n := lost(); n != tc.want {
+			t.Errorf("%s: %d machines are given up, expected %d", tc.name, n, tc.want)
+		}
+		for range 120 { // none of them reports now, either
+			round(time.Second/2, true, false)
+		}
+		if n := lost(); n != 40 {
+			t.Errorf("%s: %d machines are given up a minute later, expected 40", tc.name, n)
+		}
 	}
 }
 
--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -38,8 +38,10 @@
 	defer c.mu.Unlock()
 	now := c.now()
 	if !c.lastAt.IsZero() && now.Sub(c.lastAt) > max(interval, c.Config.ReportEvery())*2 {
+		slog.Warn("stood still", "term", c.term, "for", now.Sub(c.lastAt).String())
 		c.excuse(now)
 	}
+	c.lookAway(now)
 	c.hear(now)
 	c.fleet.Silence(now)
 	c.condemn(now)
