Machines that were not answered in an outage are not taken for deaf

Cause: a machine whose lease ends although it reported within a lease is passed over for two leases. What counts now is the last report that was taken. TestWhoIsTakenForDeaf (with one more case, renamed) fails on the code before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -141,6 +141,7 @@
 	Errors   map[string]time.Time // jobs that failed here since the last success
 	Images   map[string]time.Time // images seen on it, by last use
 
+	answered time.Time // last report here, whatever time was given again since
 	attempts map[attemptKey]*Attempt
 	strays   []stray
 	used     Res
@@ -369,18 +370,20 @@
 	if m.State == Gone || r.Shift < m.Shift || (r.Shift == m.Shift && r.Tick <= m.Tick) {
 		return m, false
 	}
-	newSession, heardAgo := r.Shift > m.Shift && m.Shift != 0, now.Sub(m.Heard)
-	m.Shift, m.Tick, m.Heard, m.Reported = r.Shift, r.Tick, now, now
+	newSession, answeredAgo := r.Shift > m.Shift && m.Shift != 0, now.Sub(m.answered)
+	m.Shift, m.Tick, m.Heard, m.Reported, m.answered = r.Shift, r.Tick, now, now, now
 	m.Address, m.Rig, m.Yard, m.Standby = r.Address, r.Rig, r.Yard, r.Standby
 	if r.WarningS != nil {
 		m.Warned = true
 	}
 	confirmed := r.Baton == f.term
-	if newSession && heardAgo < f.lease && m.State == Ready {
+	if newSession && answeredAgo < f.lease && m.State == Ready {
 		// It reported all the time and yet its lease ended: answers do not
 		// reach it. Launches would be lost, so it gets none for a while. That it
 		// reported is only known if it had this term's token: copies of reports of
-		// an earlier session may meet a leader that has just begun.
+		// an earlier session may meet a leader that has just begun. And what counts
+		// is when a report was last taken here, not the time that machines were
+		// given again after an outage: their leases ended for want of an answer.
 		m.SickTill = now.Add(2 * f.lease)
 	}
 	reported := make(map[attemptKey]*wire.LegReport, len(r.Legs))
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -227,21 +227,29 @@
 }
 
 // A machine whose lease ends although it reports does not hear its answers, and
-// is passed over. A copy of a report of an earlier session says nothing of the
-// kind, but a machine was passed over for two leases when one met a new leader.
-func TestCopiesOfAnEarlierSessionDoNotMakeDeaf(t *testing.T) {
+// is passed over. That its reports were not answered for long says nothing of the
+// kind: 600 jobs waited for two leases after an outage while 700 machines had
+// room. Nor does a copy of a report of an earlier session, but a machine was passed over for two leases when one met a new leader.
+func TestWhoIsTakenForDeaf(t *testing.T) {
 	for _, tc := range []struct {
 		name  string
-		baton uint64 // of the report of the earlier session
+		baton uint64        // of the report of the earlier session
+		after time.Duration // when the machine reports again
 		takes bool
-	}{{"a copy from before this term", 4, true}, {"a report of this term", 5, false}} {
+	}{
+		{"a copy from before this term", 4, lease / 5, true},
+		{"a report of this term", 5, lease / 5, false},
+		{"a long outage", 5, 3 * lease, true},
+	} {
 		now := time.Now()
 		f := New(5, lease, nobody{})
 		f.Report(report(1, 7, tc.baton), now)
 		m := f.Get("m-1")
 		m.Cap = Res{8, 8, 8}
-		f.Report(report(2, 30, 5), now.Add(lease/5))
-		if m.Takes(now.Add(lease/5)) != tc.takes {
+		now = now.Add(tc.after)
+		m.Heard, m.Reported = now, now // all machines are given their time again
+		f.Report(report(2, 30, 5), now)
+		if m.Takes(now) != tc.takes {
 			t.Errorf("%s: takes launches: %v", tc.name, !tc.takes)
 		}
 	}
