Pieces of withdrawn jobs do not hold up launches, nor does what is to be written anyway

Cause: a round starts no more than the budget of changes allows, less the pieces that are due to be written. Pieces of withdrawn jobs are never written again but counted until the job was archived, with what records leave. Only what will be written counts now, and a job whose piece is due takes its launches along. TestWithdrawnJobsDoNotHoldUpLaunches fails on the code before in both parts.

--- a/internal/controller/machines_test.go
+++ b/internal/controller/machines_test.go
@@ -204,3 +204,39 @@
 		t.Errorf("%d machines are given up, expected 20", lost)
 	}
 }
+
+// What is never written does not hold up launches: the pieces of jobs that were
+// called off together. Nor does what waits to be written: a job whose piece is
+// due takes its launches along.
+func TestWithdrawnJobsDoNotHoldUpLaunches(t *testing.T) {
+	for _, status := range []wire.JobStatus{wire.JobAborted, wire.JobQueued} {
+		now := time.Unix(1000, 0)
+		c := watched(&now)
+		c.Config.Cluster.State.WriteRps, c.Config.Cluster.State.TxnOps = 100, 24
+		c.Config.Cluster.Teams = []config.Team{{Name: "crew"}}
+		c.cat = &wire.Catalog{Rigs: []wire.Rig{{Sku: "g8", Cores: 64, Gpus: 8, RamGb: 512, Yards: []string{"a", "b"}}}}
+		c.Heard, c.Rounded = func() []string { return nil }, func(time.Duration) {}
+		c.Mirror.Reset(nil, 0, now)
+		for i := range 40 {
+			c.hearFrom(i, 1, now)
+			m := c.fleet.Get(fmt.Sprintf("m-%03d", i))
+			m.Rig, m.Cap = "g8", provision.Cap(&c.cat.Rigs[0])
+		}
+		spec := wire.Work{Crew: "crew", Shape: wire.Standing, Legs: 1, Cores: 1, Gpus: 1, RamGb: 1, Rollout: "i", Rank: wire.High}
+		for i := range 250 {
+			uid := fmt.Sprintf("run-%06d", i)
+			spec.Uid = uid
+			c.jobs[uid] = newJob(uid, ledger.Entry{Job: &ledger.Job{Spec: spec, Status: status, Per: 8}, Stamp: 1}, now)
+			c.jobs[uid].piece(0).touch(now)
+		}
+		spec.Uid, spec.Rank = "run-000250", wire.Critical
+		c.jobs[spec.Uid] = newJob(spec.Uid, ledger.Entry{Job: &ledger.Job{Spec: spec, Status: wire.JobQueued, Per: 8}, Stamp: 1}, now)
+		if status == wire.JobQueued {
+			c.jobs[spec.Uid].piece(0).touch(now)
+		}
+		c.round(time.Second)
+		if c.jobs[spec.Uid].live != 1 {
+			t.Errorf("with 250 jobs that are %s, nothing is started", status)
+		}
+	}
+}
--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -92,10 +92,17 @@
 const maxLegs = wire.MaxBody / 100
 
 // start turns the places of a plan into planned attempts, within the write
-// budget; what overflows waits for a later round.
+// budget; what overflows waits for a later round. Only what is going to be
+// written counts against it: pieces of withdrawn jobs are not written again, and
+// 250 jobs that were called off at the end of an outage kept 600 others waiting
+// for 20 s while 500 machines had room. What a piece that is to be written anyway
+// takes on costs nothing.
 func (c *Controller) start(plan *sched.Plan, machines []*fleet.Machine, now time.Time) int {
 	budget := max(1, int(c.Config.Cluster.State.WriteRps))
 	for _, j := range c.jobs {
+		if j.rec.Status.Final() {
+			continue
+		}
 		for _, p := range j.pieces {
 			if p.dirty && !p.due.After(now) {
 				budget--
@@ -106,8 +113,8 @@
 	for _, pl := range plan.Places {
 		j := c.jobs[pl.Job.Spec.Uid]
 		m := machines[pl.Node]
-		if budget <= 0 || m == nil {
-			break
+		if m == nil || budget <= 0 && !j.writes(now) {
+			continue
 		}
 		if m.LiveCount()+pl.Count > maxLegs {
 			continue // its report would not fit a body
