--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -94,9 +94,8 @@
 // start turns the places of a plan into planned attempts, within the write
 // budget; what overflows waits for a later round. Only what is going to be
 // written counts against it: pieces of withdrawn jobs are not written again, and
-// 250 jobs that were called off at the end of an outage kept 600 others waiting
-// for 20 s while 500 machines had room. What a piece that is to be written anyway
-// takes on costs nothing.
+// those called off at the end of an outage kept 400 other jobs waiting, with nothing
+// placed for 12 s. What a piece that is to be written anyway takes on costs nothing.
 func (c *Controller) start(plan *sched.Plan, machines []*fleet.Machine, now time.Time) int {
 	budget := max(1, int(c.Config.Cluster.State.WriteRps))
 	for _, j := range c.jobs {
