--- a/internal/standin/day_test.go
+++ b/internal/standin/day_test.go
@@ -330,6 +330,7 @@
 	}
 	for seed := range uint64(days) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			broken, started := play(t, seed, int(3+seed%12))
 			if started == 0 {
 				t.Error("no task was started")
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -26,17 +26,20 @@
 	mute   map[[2]string]bool // answers to requests from, to are lost
 	refuse map[[2]string]bool // answered 503
 	block  map[[2]string]bool // requests from, to are lost
-	Late   float64            // share of lost requests that are carried out later
+	still  map[string]chan struct{}
+	Late   float64 // share of lost requests that are carried out later
 
 	slow       time.Duration // what every request and answer takes more, at most
 	lateWrites float64       // share of commits that get no answer
 	atOnce     bool          // they are carried out at once, else after others
+	lateDirect float64       // share of direct commands that are held up and carried out late
+	trip       func(from, to, path string, carried bool)
 }
 
 // NewNetwork makes a network that is whole.
 func NewNetwork(rng *rand.Rand) *Network {
 	return &Network{rng: rng, hosts: map[string]http.Handler{}, meshes: map[string]*rpc.Server{}, conns: map[string][]net.Conn{},
-		cut: map[[2]string]bool{}, mute: map[[2]string]bool{}, refuse: map[[2]string]bool{}, block: map[[2]string]bool{}, Late: 0.5}
+		cut: map[[2]string]bool{}, mute: map[[2]string]bool{}, refuse: map[[2]string]bool{}, block: map[[2]string]bool{}, still: map[string]chan struct{}{}, Late: 0.5}
 }
 
 // Chance draws a number from 0 to n-1.
@@ -119,10 +122,74 @@
 	n.lateWrites, n.atOnce = share, atOnce
 }
 
+// LateCommands holds up a share of the direct commands: they get no answer and
+// are carried out 2 to 16 s later, after those of newer leaders.
+func (n *Network) LateCommands(share float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lateDirect = share
+}
+
+// StandStill lets a party stand still, or go on. To others it is a process that
+// gets no processor while its clocks run on: what it has asked for is carried out,
+// and it learns so when it goes on, late or as a time-out; what it was about to
+// send goes out then, and what others asked of it is answered then, though they
+// have given up. Its own timers are not stopped, as they would be: what it decides
+// meanwhile on what it has not heard goes out as well, which is the harder trial.
+func (n *Network) StandStill(name string, on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.setStill(name, on)
+}
+
+func (n *Network) setStill(name string, on bool) {
+	switch ch := n.still[name]; {
+	case on && ch == nil:
+		n.still[name] = make(chan struct{})
+	case !on && ch != nil:
+		close(ch)
+		delete(n.still, name)
+	}
+}
+
+// await waits while a party stands still. A party's ends all belong to the part of
+// their names before the port.
+func (n *Network) await(name string) {
+	host, _, _ := strings.Cut(name, ":")
+	n.mu.Lock()
+	ch := n.still[host]
+	n.mu.Unlock()
+	if ch != nil {
+		<-ch
+	}
+}
+
+// Trip calls f for every request that reaches a party, just before it is carried
+// out and just after, when its answer is not yet on its way: what stands still at
+// a moment of the protocol is found so. nil ends it.
+func (n *Network) Trip(f func(from, to, path string, carried bool)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.trip = f
+}
+
+func (n *Network) tripped(from, to, path string, carried bool) {
+	n.mu.Lock()
+	f := n.trip
+	n.mu.Unlock()
+	if f != nil {
+		f(from, to, path, carried)
+	}
+}
+
 // Heal ends all cuts.
 func (n *Network) Heal() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.trip, n.lateDirect = nil, 0
+	for name := range n.still {
+		n.setStill(name, false)
+	}
 	clear(n.cut)
 	clear(n.mute)
 	clear(n.refuse)
@@ -151,9 +218,11 @@
 		}
 	}
 	link := [2]string{p.from, to}
+	p.n.await(p.from)
 	p.n.mu.Lock()
 	h, cut, mute, refuse := p.n.hosts[to], p.n.cut[link], p.n.mute[link], p.n.refuse[link]
 	block, held := p.n.block[link], p.n.lateWrites > 0 && strings.HasSuffix(req.URL.Path, "/commit") && p.n.rng.Float64() < p.n.lateWrites
+	direct := p.n.lateDirect > 0 && req.URL.Path == "/do" && p.n.rng.Float64() < p.n.lateDirect
 	atOnce := p.n.atOnce
 	late := p.n.rng.Float64() < p.n.Late
 	lateness := time.Duration(p.n.rng.Int64N(int64(40 * time.Second)))
@@ -199,6 +268,10 @@
 		go later(lateness)
 		cut, late = true, false
 	}
+	if direct && !cut && h != nil {
+		go later(2*time.Second + lateness*14/40)
+		cut, late = true, false
+	}
 	if cut || block {
 		if late && !block {
 			go later(lateness) // the packets are held back and delivered after all
@@ -218,11 +291,36 @@
 		return rec.Result(), nil
 	}
 	done := make(chan *httptest.ResponseRecorder, 1)
-	go func() { done <- serve(ctx, h) }()
+	go func() {
+		p.n.await(to)
+		p.n.tripped(p.from, to, req.URL.Path, false)
+		p.n.await(to)
+		p.n.mu.Lock()
+		h := p.n.hosts[to]
+		p.n.mu.Unlock()
+		if h == nil {
+			return // it has ended meanwhile
+		}
+		rec := serve(ctx, h)
+		p.n.tripped(p.from, to, req.URL.Path, true)
+		p.n.await(to)
+		done <- rec
+	}()
 	select {
 	case <-ctx.Done():
+		// Whoever stands still sees his time-out only when he goes on: he may then
+		// see the answer first.
+		p.n.await(p.from)
+		select {
+		case rec := <-done:
+			if p.n.Chance(2) == 0 {
+				return rec.Result(), nil
+			}
+		default:
+		}
 		return nil, ctx.Err()
 	case rec := <-done:
+		p.n.await(p.from)
 		// The open watches of a node that is refused wait as in an outage.
 		for req.URL.Path == "/changes" && p.n.refused(link) {
 			if !wait(50 * time.Millisecond) {
@@ -259,10 +357,40 @@
 		if srv == nil || n.cut[[2]string{from, addr}] {
 			return nil, errNoAnswer
 		}
-		a, b := net.Pipe()
+		a, near := net.Pipe()
+		far, b := net.Pipe()
 		n.conns[from] = append(n.conns[from], a)
 		n.conns[addr] = append(n.conns[addr], b)
+		go n.relay(near, far, from, addr)
+		go n.relay(far, near, addr, from)
 		go srv.ServeConn(b)
 		return a, nil
 	}
 }
+
+// relay carries what is sent on a connection: it leaves when the one party goes on
+// and arrives when the other does. Nobody's write waits for that.
+func (n *Network) relay(src, dst net.Conn, from, to string) {
+	sent := make(chan []byte, 1<<12)
+	go func() {
+		for data := range sent {
+			n.await(from)
+			n.await(to)
+			if _, err := dst.Write(data); err != nil {
+				break
+			}
+		}
+		dst.Close()
+		for range sent { // nobody reads any more
+		}
+	}()
+	defer close(sent)
+	for {
+		data := make([]byte, 1<<12)
+		k, err := src.Read(data)
+		if err != nil {
+			return
+		}
+		sent <- data[:k]
+	}
+}
