Large arrays begin in time when their team is at its limit for minutes

In a queue by laxity the largest begin like the others, that is after the four minutes that users give them.

Now the first task of an array that is at least as large as its class usually is goes before others of its rank after ten leases; its other tasks wait their turn.

Ruled out: idle room; the team's use stood at its limit (66 or 67 of 67 GPUs, 95 or 96 of 96).

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -425,6 +425,7 @@
 		}
 		return
 	}
+	j.begun = j.begun || a.State == fleet.Running
 	p := j.piece(a.Leg)
 	if from < fleet.Ended && !a.Live() && p.live[a.Leg] == a {
 		delete(p.live, a.Leg)
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -37,6 +37,7 @@
 	live     int
 	freed    []int // tasks that wait again
 	cursor   int   // tasks from here on were never placed
+	begun    bool  // a task of it has run in this term
 	waitFrom time.Time
 	avoid    map[string]time.Time // machines it failed on
 	fails    int
--- a/internal/controller/machines_test.go
+++ b/internal/controller/machines_test.go
@@ -10,6 +10,7 @@
 	"lotusstile.dev/lotusstile/internal/fleet"
 	"lotusstile.dev/lotusstile/internal/ledger"
 	"lotusstile.dev/lotusstile/internal/provision"
+	"lotusstile.dev/lotusstile/internal/sched"
 	"lotusstile.dev/lotusstile/wire"
 )
 
@@ -240,3 +241,52 @@
 		}
 	}
 }
+
+// The first task of an array that is larger than its class usually is goes before
+// others of its rank once it has waited for long, and only the first: at a team's
+// limit, with a queue of minutes, one of nine of the largest had begun after four
+// minutes.
+func TestLargeArraysBegin(t *testing.T) {
+	now := time.Now()
+	c := watched(&now)
+	c.Deps.Config.Cluster.Teams = []config.Team{{Name: "crew"}}
+	c.cat = &wire.Catalog{Rigs: []wire.Rig{{Sku: "g", Cores: 8, Gpus: 8, RamGb: 8, BootS: 30, Yards: []string{"a"}}}}
+	array := func(uid string, legs int, ago time.Duration) *job {
+		spec := wire.Work{Uid: uid, Berth: "batch", Crew: "crew", Shape: wire.Sweep, Rank: wire.Standard, Legs: legs, Cores: 1, Gpus: 1, RamGb: 1}
+		e := ledger.Entry{Job: &ledger.Job{Spec: spec, Status: wire.JobQueued, Per: 16, AtMs: now.Add(-ago).UnixMilli()}, Stamp: 1}
+		c.takeJob(uid, e)
+		c.jobs[uid].waitFrom = now.Add(-ago)
+		return c.jobs[uid]
+	}
+	for i := range 12 {
+		array(fmt.Sprintf("run-%06d", i), 2, 4*time.Minute)
+	}
+	large := array("run-000100", 9, 3*time.Minute)
+	young := array("run-000101", 9, time.Minute)
+	order := func() (uids []string, waiting []int) {
+		p := c.picture(now, time.Second)
+		sched.Order(p.in.Jobs, 40)
+		for _, j := range p.in.Jobs {
+			uids, waiting = append(uids, j.Spec.Uid), append(waiting, j.Waiting)
+		}
+		return uids, waiting
+	}
+	uids, waiting := order()
+	if len(uids) != 15 || uids[0] != large.uid || waiting[0] != 1 || uids[13] != large.uid || waiting[13] != 8 || uids[14] != young.uid || waiting[14] != 9 {
+		t.Errorf("the order is %v, with %v tasks", uids, waiting)
+	}
+	// Once it has run, it waits its turn, also when its task has ended.
+	a := &fleet.Attempt{Uid: large.uid, Leg: 0, Try: 1, Need: large.need}
+	large.piece(0).live[0] = a
+	large.live++
+	c.fleet.Report(&wire.Report{Host: "m", Rig: "g", Yard: "a", Shift: 1, Tick: 1, Baton: 5}, now)
+	c.fleet.Place(c.fleet.Get("m"), a, now)
+	c.fleet.Commit(a, now)
+	for tick, status := range []wire.LegStatus{wire.LegRunning, wire.LegEnded} {
+		c.fleet.Report(&wire.Report{Host: "m", Rig: "g", Yard: "a", Shift: 1, Tick: uint64(2 + tick), Baton: 5,
+			Legs: []wire.LegReport{{Leg: a.Name(), Try: 1, Status: status, Cause: wire.CauseStopped}}}, now)
+	}
+	if uids, _ := order(); len(uids) != 14 || uids[0] == large.uid || large.live != 0 {
+		t.Errorf("after it has begun, the order is %v", uids)
+	}
+}
--- a/internal/controller/picture.go
+++ b/internal/controller/picture.go
@@ -34,6 +34,15 @@
 		}
 		if sj := c.waitingJob(j, now); sj != nil {
 			top = max(top, j.level)
+			if c.overdueToBegin(j, now) {
+				// It begins; the rest of its tasks wait their turn.
+				first := *sj
+				first.First, first.Waiting = true, 1
+				p.in.Jobs = append(p.in.Jobs, &first)
+				if sj.Waiting--; sj.Waiting == 0 {
+					continue
+				}
+			}
 			p.in.Jobs = append(p.in.Jobs, sj)
 		}
 	}
@@ -85,6 +94,23 @@
 	return sj
 }
 
+// beginLeases is after how many leases the first task of a large array goes before
+// the tasks of others of its rank.
+const beginLeases = 10
+
+// overdueToBegin reports whether nothing of an array has run yet although it came
+// long ago, and it is larger than its class usually is. Users look for a beginning
+// of these, too, after four minutes, and they have the most left to do once they
+// have begun; in a queue of minutes at their team's limit, one of nine began in time.
+// An array that starts whole has no first task.
+func (c *Controller) overdueToBegin(j *job, now time.Time) bool {
+	s := &j.rec.Spec
+	usual := c.arrive[s.Berth]
+	return s.Shape == wire.Sweep && !s.Together && !j.begun && j.done == 0 && j.live == 0 &&
+		now.Sub(time.UnixMilli(j.rec.AtMs)) > beginLeases*c.Config.Lease() &&
+		usual != nil && float64(s.Legs*s.Legs) >= usual.legs2
+}
+
 // addNode adds a machine as a round sees it, if it takes launches now or soon.
 // top is the highest level that waits.
 func (c *Controller) addNode(p *picture, m *fleet.Machine, top int, now time.Time) {
@@ -184,8 +210,10 @@
 
 // laxS is how long a job can still wait and be done by its deadline, or by the
 // next time that the users set for its class, if it runs half as long again as
-// its owner expects. Work without either counts as due a few boots after it
-// came, so that age decides among its like.
+// its owner expects. Work without either counts as due a few boots after nothing of
+// it ran any more, so that age decides among its like. An array past the last of its
+// times gives way to those in time when it loses its last task: counted by its whole
+// age, it went before them, and at a team's limit fewer were in time.
 func (c *Controller) laxS(j *job, now time.Time) float64 {
 	s := &j.rec.Spec
 	age := float64(now.UnixMilli()-j.rec.AtMs) / 1000
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -64,6 +64,7 @@
 	Overdue bool    // could not wait for a new machine: dearer ones that stay anyway will do
 	Tired   bool    // waited as long as a new machine takes: any machine will do
 	Dear    bool    // no cheaper machine can be had: waiting for one is in vain
+	First   bool    // the first task of a job that should have begun by now
 	Avoid   string  // a machine that it is not placed on
 }
 
@@ -119,11 +120,16 @@
 
 // Order sorts jobs by rank, then by how long they can still wait, then age,
 // then id. Work that cannot be in time any more lets the rest of its rank pass,
-// but not for ever.
+// but not for ever. First tasks of jobs that should have begun come first, those
+// of the oldest job before others.
 func Order(jobs []*Job, patienceS float64) {
 	late := func(j *Job) int { return b2i(j.LaxS < 0 && j.Spec.Shape == wire.Sweep && j.WaitedS < patienceS) }
 	slices.SortFunc(jobs, func(a, b *Job) int {
-		return cmp.Or(cmp.Compare(b.Level, a.Level), cmp.Compare(late(a), late(b)), cmp.Compare(a.LaxS, b.LaxS),
+		if a.First && b.First {
+			return cmp.Or(cmp.Compare(b.Level, a.Level), cmp.Compare(a.AtMs, b.AtMs), cmp.Compare(a.Spec.Uid, b.Spec.Uid))
+		}
+		return cmp.Or(cmp.Compare(b.Level, a.Level), cmp.Compare(b2i(b.First), b2i(a.First)),
+			cmp.Compare(late(a), late(b)), cmp.Compare(a.LaxS, b.LaxS),
 			cmp.Compare(a.AtMs, b.AtMs), cmp.Compare(a.Spec.Uid, b.Spec.Uid))
 	})
 }
