Workers of a deposed leader come over with all that they run

Now a node hands out only the term that the state service or a leader has told it (View.Known), and sends a worker that has seen a newer one to look for the leader. A machine that takes the token in the session that its tasks are known from counts as heard, and a quarter of those that have not reported are told at a time, not 32.

--- a/internal/api/reports.go
+++ b/internal/api/reports.go
@@ -176,23 +176,28 @@
 }
 
 // keepLease answers for a leader that this node cannot reach: the lease goes
-// on and nothing is launched.
+// on and nothing is launched. A worker that has seen a newer token than the state
+// service or a leader has told this node has been reached by that token's leader,
+// past this node: it is sent to look for it. The others keep the token that this node
+// knows. A deposed leader that had lost the state service and its peers gave all its
+// workers the new token as soon as the first of them had heard it, and so kept a whole
+// fleet from the new leader, which took it for lost.
 func (n *Node) keepLease(r *wire.Report) (*wire.Orders, *wire.Redirect) {
 	v := n.elector.View()
-	if !v.Synced || v.Term == 0 {
+	if !v.Synced || v.Known == 0 {
 		return nil, nil
 	}
-	if r.Baton > v.Term {
+	if r.Baton > v.Known {
 		n.elector.Saw(r.Baton, "")
 		return nil, &wire.Redirect{}
 	}
 	n.mu.Lock()
 	if _, ok := n.kept[r.Host]; !ok {
-		slog.Info("keeping a lease in the leader's place", "host", r.Host, "term", v.Term)
+		slog.Info("keeping a lease in the leader's place", "host", r.Host, "term", v.Known)
 	}
 	n.kept[r.Host] = time.Now()
 	n.mu.Unlock()
-	return &wire.Orders{Baton: v.Term, Orders: []wire.Order{}}, nil
+	return &wire.Orders{Baton: v.Known, Orders: []wire.Order{}}, nil
 }
 
 // publishKept writes which machines this node answers while it cannot reach
--- a/internal/controller/announce.go
+++ b/internal/controller/announce.go
@@ -64,7 +64,9 @@
 	// Any of them, for most may be gone together: one that answers is enough to
 	// end the term of a leader that is deposed and does not know.
 	rand.Shuffle(len(ts), func(i, k int) { ts[i], ts[k] = ts[k], ts[i] })
-	ts = ts[:min(len(ts), 2*announceSlots)]
+	// A quarter of them at a time: those that answer take milliseconds, and a whole
+	// fleet may sit at a deposed leader.
+	ts = ts[:min(len(ts), max(2*announceSlots, len(ts)/4))]
 	for _, t := range ts {
 		c.told[t.host] = now
 	}
@@ -82,9 +84,23 @@
 		c.depose("a worker has seen a higher token")
 		return
 	}
+	if r.Baton == c.term && r.Shift == t.shift {
+		c.alive(t.host)
+	}
 	if r.Baton < c.term && r.Shift != t.shift && strings.EqualFold(r.Host, t.host) {
 		if _, err := c.Worker.Announce(ctx, t.address, c.term, r.Shift); err != nil {
 			slog.Debug("token not announced", "host", t.host, "err", err)
 		}
 	}
 }
+
+// alive notes that a machine which has not reported in this term has taken the
+// token in the session that its tasks are known from: another node has kept its
+// lease, and it is on its way here.
+func (c *Controller) alive(host string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if m := c.fleet.Get(host); m != nil && m.State == fleet.Booting {
+		m.Heard = c.now()
+	}
+}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -45,6 +45,7 @@
 type View struct {
 	Leader string // empty: nobody leads
 	Term   uint64 // the last term there was, of that leader if there is one
+	Known  uint64 // the last one that the state service or its own leader told of
 	Synced bool
 }
 
@@ -110,6 +111,9 @@
 func (e *Elector) Saw(term uint64, leader string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if leader != "" {
+		e.view.Known = max(e.view.Known, term)
+	}
 	if term == e.view.Term && e.view.Leader == "" && e.stop == nil {
 		// A worker's token told the term before the leader itself did. A node
 		// that cannot read the state service would otherwise never learn the
@@ -173,7 +177,7 @@
 		slog.Error("leader record cannot be read", "key", key, "err", err)
 		return
 	}
-	e.view.Term = stamp
+	e.view.Term, e.view.Known = stamp, max(e.view.Known, stamp)
 	if key == ledger.LeaderKey {
 		e.view.Leader = l.Node
 	}
@@ -256,7 +260,7 @@
 	defer stop()
 	e.mu.Lock()
 	e.term, e.stop = term, stop
-	e.view.Term, e.view.Leader = max(term, e.view.Term), e.label
+	e.view.Term, e.view.Leader, e.view.Known = max(term, e.view.Term), e.label, max(term, e.view.Known)
 	if e.view.Term > term {
 		stop()
 	}
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -22,8 +22,11 @@
 func TestNameOfNewerTermIsTakenLater(t *testing.T) {
 	e := New(nil, "a", 1, func(context.Context, uint64) {})
 	e.Saw(7, "")
+	if v := e.View(); v.Term != 7 || v.Known != 0 {
+		t.Fatalf("after a worker's token the view is %+v", v)
+	}
 	e.Saw(7, "b")
-	if v := e.View(); v.Term != 7 || v.Leader != "b" {
+	if v := e.View(); v.Term != 7 || v.Known != 7 || v.Leader != "b" {
 		t.Fatalf("view is %+v", v)
 	}
 	e.Saw(6, "c")
@@ -61,6 +64,9 @@
 				e.Apply(wire.Changes{News: []wire.News{{Drop: ledger.LeaderKey, Stamp: term}}}, 0, time.Time{})
 			}
 			v := e.View()
+			if v.Known > v.Term {
+				t.Fatalf("term %d is known, but the last one is %d", v.Known, v.Term)
+			}
 			if v.Term < last {
 				t.Fatalf("term fell from %d to %d", last, v.Term)
 			}
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -211,6 +211,44 @@
 	})
 }
 
+// A leader that has lost the state service and its peers keeps the leases of the
+// workers that still reach it. The next leader neither takes their machines for lost
+// nor waits until the old one's knowledge is too old: it tells them its token, and
+// they come to it with all that they run.
+func TestFleetOfADeposedLeaderComesOver(t *testing.T) {
+	const machines, replicas = 48, 300
+	inDay(t, func(d *day) {
+		d.w.Capacity = machines + 2
+		d.w.AddMachines("g8", "a", machines-2)
+		spec := wire.Work{Uid: "run-000001", Berth: "serve", Crew: "free", Shape: wire.Standing, Rank: wire.High, Legs: replicas,
+			Cores: 4, Gpus: 1, RamGb: 20, Rollout: "img", ImageGb: 4}
+		d.w.Upload(spec)
+		if !d.w.Submit("n0", spec) {
+			t.Fatal("not accepted")
+		}
+		time.Sleep(40 * time.Second)
+		if n := d.w.On(spec.Uid); n != replicas {
+			t.Fatalf("%d tasks run", n)
+		}
+		lead := d.leading()
+		d.net.Cut(labels[lead], "state:1", true)
+		for i, l := range labels {
+			if i != lead {
+				d.net.Cut(labels[lead]+":81", l+":81", true)
+			}
+		}
+		time.Sleep(25 * time.Second)
+		if now := d.leading(); now == lead || now < 0 {
+			t.Errorf("%d leads after %d", now, lead)
+		}
+		d.net.Heal()
+		time.Sleep(20 * time.Second)
+		if n, on := d.w.Started(), d.w.On(spec.Uid); n != replicas || on != replicas {
+			t.Errorf("%d starts, %d tasks are left", n, on)
+		}
+	})
+}
+
 // mixed are replicas, arrays and short tasks of a team at its limit and of one
 // without any; some are cancelled.
 func mixed(i int, r *rand.Rand) (wire.Work, time.Duration) {
