--- a/internal/api/admin.go
+++ b/internal/api/admin.go
@@ -31,6 +31,7 @@
 	gauge("lotusstile_term", func() float64 { return float64(n.elector.View().Term) })
 	gauge("lotusstile_lag_seconds", func() float64 { return time.Duration(n.load.lag.Load()).Seconds() })
 	gauge("lotusstile_state_proof_seconds", func() float64 { return min(n.store.ProofAge(), time.Hour).Seconds() })
+	gauge("lotusstile_knowledge_seconds", func() float64 { return min(time.Since(n.mirror.Fresh()), time.Hour).Seconds() })
 }
 
 func (n *Node) rounded(took time.Duration) { n.rounds.Update(took.Seconds()) }
@@ -124,6 +125,6 @@
 	case err != nil:
 		return retryLater(c, "cannot be recorded now")
 	}
-	n.takeSettings(ledger.SettingsKey, value, stamp)
+	n.takeSettings(wire.News{Set: ledger.SettingsKey, Value: value, Stamp: stamp})
 	return c.JSON(http.StatusOK, n.settings.Load())
 }
--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -130,7 +130,7 @@
 func (n *Node) Start(ctx context.Context) {
 	hold, pause := n.cfg.Lease(), n.cfg.HoldTTL()/8
 	go n.mirror.Run(ctx, n.store, hold, pause)
-	go ledger.Follow(ctx, n.store, ledger.SettingsPrefix, 3*hold, pause, n.resetSettings, n.changeSettings)
+	go ledger.Follow(ctx, n.store, ledger.SettingsPrefix, 3*hold, pause, ledger.Funcs{Listed: n.takeSettings, Changed: n.takeSettings})
 	go n.elector.Run(ctx)
 	go n.readCatalog(ctx)
 	go n.heartbeat(ctx)
@@ -168,20 +168,13 @@
 	})
 }
 
-func (n *Node) resetSettings(rows []wire.Item, _ uint64) {
-	for _, row := range rows {
-		n.takeSettings(row.Key, row.Value, row.Stamp)
-	}
-}
-
-func (n *Node) changeSettings(ch wire.News) { n.takeSettings(ch.Set, ch.Value, ch.Stamp) }
-
-func (n *Node) takeSettings(key string, value json.RawMessage, stamp uint64) {
-	if key != ledger.SettingsKey || stamp <= n.settings.Load().Stamp {
+// takeSettings takes the operators' own settings from the state service.
+func (n *Node) takeSettings(ch wire.News) {
+	if ch.Set != ledger.SettingsKey || ch.Stamp <= n.settings.Load().Stamp {
 		return
 	}
 	s := ledger.DefaultSettings(n.cfg.Cluster.Workers.ReportS)
-	if err := json.Unmarshal(value, &s); err != nil {
+	if err := json.Unmarshal(ch.Value, &s); err != nil {
 		slog.Error("stored settings cannot be read", "err", err)
 		return
 	}
@@ -189,7 +182,7 @@
 		slog.Error("stored settings are not valid", "err", err)
 		return
 	}
-	s.Stamp = stamp
+	s.Stamp = ch.Stamp
 	slog.Info("settings in force", "settings", s)
 	n.settings.Store(&s)
 }
@@ -261,13 +254,15 @@
 // heartbeat reads it often enough that an idle node is not taken for cut off.
 func (n *Node) serving() bool { return n.store.ProofAge() < n.cfg.HoldTTL()/2 }
 
-// heartbeat reads the state service if nothing else has lately.
+// heartbeat brings the mirror of jobs up to date past its watch: an idle node is
+// then not taken for cut off, and what it knows of withdrawals is never older
+// than a tenth of a lease while it reaches the state service.
 func (n *Node) heartbeat(ctx context.Context) {
 	every := n.cfg.HoldTTL() / 8
 	for ctx.Err() == nil {
-		if n.store.ProofAge() > every {
+		if n.store.ProofAge() > every || time.Since(n.mirror.Fresh()) > n.cfg.Lease()/10 {
 			rctx, cancel := context.WithTimeout(store.Urgent(ctx), 2*every)
-			if _, _, err := n.store.Get(rctx, ledger.TermKey); err != nil {
+			if err := n.mirror.Refresh(rctx, n.store); err != nil {
 				slog.Debug("state service not reached", "err", err)
 			}
 			cancel()
--- a/internal/api/reports.go
+++ b/internal/api/reports.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -48,29 +49,100 @@
 	if err != nil {
 		return http.StatusBadRequest, encode(wire.Fault{Error: err.Error()})
 	}
-	// A task that was withdrawn right after the last proven read must still
-	// die in time: past that, no lease is renewed.
-	if n.store.ProofAge() > n.cfg.ProofLimit() {
-		return http.StatusServiceUnavailable, encode(wire.Fault{Error: "the state service was not reached for too long"})
+	// What could not be answered in the end is not taken into the picture.
+	if n.tooOld(n.mirror.Fresh()) {
+		return http.StatusServiceUnavailable, encode(errStale)
 	}
+	o, to := n.orders(ctx, &r, body, direct)
+	switch {
+	case to != nil:
+		return http.StatusMisdirectedRequest, encode(to)
+	case o == nil:
+		return http.StatusServiceUnavailable, encode(wire.Fault{Error: "no term is known yet"})
+	case !n.renew(&r, o):
+		return http.StatusServiceUnavailable, encode(errStale)
+	}
+	return http.StatusOK, encode(o)
+}
+
+var errStale = wire.Fault{Error: "what is known of withdrawals is too old to renew a lease on"}
+
+// tooOld reports whether knowledge of all withdrawals up to a time is too old to
+// renew a lease on.
+func (n *Node) tooOld(fresh time.Time) bool { return time.Since(fresh) > n.cfg.KnowledgeLimit() }
+
+// renew is passed by every answer that renews a lease, whichever node and path
+// it comes from: this is the one place that decides that it may, and that stops
+// what is withdrawn. A withdrawal is either known here, and then the task is
+// stopped by this answer, or it came after the read that the knowledge stems
+// from, and then that read is young enough for the task to die by its lease
+// within cancel_s. The lease counts from when the report was sent, which was
+// before this: how long the answer takes from here on does not matter.
+func (n *Node) renew(r *wire.Report, o *wire.Orders) bool {
+	uids := make([]string, 0, len(r.Legs)+len(o.Orders))
+	for _, l := range r.Legs {
+		if uid, _, ok := wire.SplitLeg(l.Leg); ok && l.Status != wire.LegEnded {
+			uids = append(uids, uid)
+		}
+	}
+	for _, w := range o.Orders {
+		if uid, _, ok := wire.SplitLeg(w.Leg); ok && w.Verb == wire.Launch {
+			uids = append(uids, uid)
+		}
+	}
+	// Both are learned at once: a withdrawal that came between would be lost.
+	withdrawn, fresh := n.mirror.Withdrawn(uids)
+	if n.tooOld(fresh) {
+		return false
+	}
+	if len(withdrawn) == 0 {
+		return true
+	}
+	gone := func(leg string) bool {
+		uid, _, _ := wire.SplitLeg(leg)
+		return withdrawn[uid]
+	}
+	stops := map[wire.Order]bool{}
+	for _, l := range r.Legs {
+		if l.Status != wire.LegEnded && gone(l.Leg) {
+			stops[wire.Order{Verb: wire.Stop, Leg: l.Leg, Try: l.Try}] = true
+		}
+	}
+	o.Orders = slices.DeleteFunc(o.Orders, func(w wire.Order) bool {
+		w.LeewayS = 0
+		return w.Verb == wire.Launch && gone(w.Leg) || stops[w]
+	})
+	for w := range stops {
+		o.Orders = append(o.Orders, w)
+	}
+	return true
+}
+
+// orders finds the answer to a report: orders, or where else to report. With
+// neither, no term is known yet.
+func (n *Node) orders(ctx context.Context, r *wire.Report, body []byte, direct bool) (*wire.Orders, *wire.Redirect) {
 	if c := n.lead.Load(); c != nil {
-		if o, ok := c.CheckIn(ctx, &r, direct); ok {
-			return http.StatusOK, encode(o)
+		if o, ok := c.CheckIn(ctx, r, direct); ok {
+			return &o, nil
 		}
-		return http.StatusMisdirectedRequest, encode(wire.Redirect{})
+		return nil, &wire.Redirect{}
 	}
 	if !direct {
-		return http.StatusMisdirectedRequest, encode(wire.Redirect{})
+		return nil, &wire.Redirect{}
 	}
 	if p := n.leader(); p != nil {
 		if !n.relays(r.Host) {
-			return http.StatusMisdirectedRequest, encode(wire.Redirect{Dispatcher: p.Label})
+			return nil, &wire.Redirect{Dispatcher: p.Label}
 		}
 		if reply, err := p.CheckIn(body); err == nil && reply.Status == http.StatusOK {
-			return reply.Status, reply.Body
+			var o wire.Orders
+			if err := json.Unmarshal(reply.Body, &o); err == nil {
+				return &o, nil
+			}
+			slog.Error("relayed answer cannot be read", "peer", p.Label, "err", err)
 		}
 	}
-	return n.keepLease(&r)
+	return n.keepLease(r)
 }
 
 // contact is how a follower has answered a machine.
@@ -104,21 +176,15 @@
 }
 
 // keepLease answers for a leader that this node cannot reach: the lease goes
-// on, nothing is launched, and what is withdrawn is stopped.
-func (n *Node) keepLease(r *wire.Report) (int, []byte) {
+// on and nothing is launched.
+func (n *Node) keepLease(r *wire.Report) (*wire.Orders, *wire.Redirect) {
 	v := n.elector.View()
 	if !v.Synced || v.Term == 0 {
-		return http.StatusServiceUnavailable, encode(wire.Fault{Error: "no term is known yet"})
+		return nil, nil
 	}
 	if r.Baton > v.Term {
 		n.elector.Saw(r.Baton, "")
-		return http.StatusMisdirectedRequest, encode(wire.Redirect{})
-	}
-	o := wire.Orders{Baton: v.Term, Orders: []wire.Order{}}
-	for _, l := range r.Legs {
-		if uid, _, ok := wire.SplitLeg(l.Leg); ok && l.Status != wire.LegEnded && n.mirror.Aborted(uid) {
-			o.Orders = append(o.Orders, wire.Order{Verb: wire.Stop, Leg: l.Leg, Try: l.Try})
-		}
+		return nil, &wire.Redirect{}
 	}
 	n.mu.Lock()
 	if _, ok := n.kept[r.Host]; !ok {
@@ -126,7 +192,7 @@
 	}
 	n.kept[r.Host] = time.Now()
 	n.mu.Unlock()
-	return http.StatusOK, encode(o)
+	return &wire.Orders{Baton: v.Term, Orders: []wire.Order{}}, nil
 }
 
 // publishKept writes which machines this node answers while it cannot reach
--- /dev/null
+++ b/internal/api/reports_test.go
@@ -0,0 +1,70 @@
+package api
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/config"
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// Every answer that renews a lease stops what is withdrawn, and none is given on
+// knowledge that is too old, whatever path it comes from: a leader that had not
+// loaded its picture renewed leases without stopping anything, and a node whose
+// watch of the jobs hung renewed them because other requests were answered.
+func TestLeasesAreRenewedOnKnowledge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := &config.Config{}
+		cfg.Cluster.Workers.LeaseS, cfg.Cluster.Workers.ReportS, cfg.Cluster.Workers.CancelS = 10, 1, 40
+		cfg.Cluster.State.Rps, cfg.Cluster.State.WriteRps, cfg.Cluster.Cloud.Rps = 100, 100, 1
+		state := always(http.StatusOK)
+		n := New(cfg, Network{State: &state})
+		time.Sleep(time.Second)
+		report := wire.Report{Host: "m", Legs: []wire.LegReport{
+			{Leg: "run-000001/0", Try: 2, Status: wire.LegRunning}, {Leg: "run-000001/1", Try: 1, Status: wire.LegSaving},
+			{Leg: "run-000001/2", Try: 1, Status: wire.LegEnded}, {Leg: "run-000002/0", Try: 1, Status: wire.LegRunning}}}
+		ordered := []wire.Order{{Verb: wire.Launch, Leg: "run-000001/3", Try: 1}, {Verb: wire.Stop, Leg: "run-000001/1", Try: 1, LeewayS: 9},
+			{Verb: wire.Stop, Leg: "run-000001/4", Try: 1}, {Verb: wire.Reap, Leg: "run-000001/2", Try: 1}, {Verb: wire.Launch, Leg: "run-000002/1", Try: 1}}
+		if n.renew(&report, &wire.Orders{}) {
+			t.Error("a lease is renewed before the jobs are listed")
+		}
+		rows := []wire.Item{{Key: "j/run-000001", Value: ledger.Encode(ledger.Job{Status: wire.JobAborted}), Stamp: 1},
+			{Key: "j/run-000002", Value: ledger.Encode(ledger.Job{Status: wire.JobQueued}), Stamp: 2}}
+		n.mirror.Reset(rows, 2, time.Now())
+		o := wire.Orders{Orders: slices.Clone(ordered)}
+		if !n.renew(&report, &o) {
+			t.Error("not renewed on fresh knowledge")
+		}
+		var got []string
+		for _, w := range o.Orders {
+			got = append(got, fmt.Sprintf("%s %s %d %g", w.Verb, w.Leg, w.Try, w.LeewayS))
+		}
+		slices.Sort(got)
+		want := "launch run-000002/1 1 0, reap run-000001/2 1 0, stop run-000001/0 2 0, stop run-000001/1 1 0, stop run-000001/4 1 0"
+		if text := strings.Join(got, ", "); text != want {
+			t.Errorf("orders are %s\nexpected %s", text, want)
+		}
+		// Other requests are answered all the time, but nothing is learned of the jobs.
+		for age := time.Duration(0); age <= 29*time.Second; age += time.Second {
+			if !n.renew(&report, &wire.Orders{}) {
+				t.Errorf("not renewed on knowledge of %s", age)
+			}
+			if _, _, err := n.store.Get(t.Context(), ledger.TermKey); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+		}
+		if n.renew(&report, &wire.Orders{}) { // 30 s + a lease would be over before 40 s by nothing
+			t.Error("renewed on knowledge of 30 s")
+		}
+		if status, _ := n.answerReport(t.Context(), []byte(`{"Host":"m","Address":"m:1","Rig":"g","Yard":"a","Shift":1,"Tick":1,"Legs":[]}`), true); status != http.StatusServiceUnavailable {
+			t.Errorf("answered %d", status)
+		}
+	})
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -142,7 +142,11 @@
 	positive("cluster.machine_limits.mem_mb", cl.Limits.MemMb)
 	fault(cl.Limits.MaxConnections < 8, "cluster.machine_limits.max_connections must be at least 8")
 	fault(cl.Workers.ReportS > 0 && cl.Workers.LeaseS < 2*cl.Workers.ReportS, "cluster.workers.lease_s must be at least twice report_s")
-	fault(cl.Workers.CancelS > 0 && cl.Workers.CancelS <= cl.Workers.LeaseS, "cluster.workers.cancel_s must be above lease_s")
+	// A node's knowledge of withdrawals is up to a tenth of a lease old when all
+	// is well; below twice that, leases would end at the first late answer of the
+	// state service.
+	fault(cl.Workers.CancelS > 0 && c.KnowledgeLimit() < c.Lease()/5,
+		"cluster.workers.cancel_s must be at least 1.3 times lease_s: withdrawn tasks behind a cut are gone only when their lease has ended")
 	return errors.Join(faults...)
 }
 
@@ -171,11 +175,12 @@
 // lease, so that a successor has most of a lease left to gather the workers.
 func (c *Config) HoldTTL() time.Duration { return c.Lease() / 5 }
 
-// ProofLimit is the oldest that the last proven read of the state service may
-// be for a node to go on keeping leases. A task that was withdrawn right after
-// that read then still dies by its lease within cancel_s; a tenth of the lease
-// is kept as a margin.
-func (c *Config) ProofLimit() time.Duration {
+// KnowledgeLimit is how old a node's knowledge of withdrawals may be for it to
+// go on renewing leases. A task that was withdrawn right after the read that the
+// knowledge stems from dies by its lease, which counts from when the worker sent
+// its report: no later than cancel_s after that read, less a tenth of a lease.
+// docs/safety.md says what that margin is for.
+func (c *Config) KnowledgeLimit() time.Duration {
 	return seconds(c.Cluster.Workers.CancelS) - c.Lease() - c.Lease()/10
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -323,7 +323,7 @@
 	if !hold {
 		m.Relayed = c.now()
 	}
-	if o.Orders = c.fleet.Orders(m, c.now(), true); len(o.Orders) > 0 || !hold || m.State != fleet.Ready {
+	if o.Orders = c.fleet.Orders(m, c.now(), c.launches()); len(o.Orders) > 0 || !hold || m.State != fleet.Ready {
 		return o, true
 	}
 	wake := make(chan struct{})
@@ -343,11 +343,18 @@
 	// Orders answer the newest report only: the worker drops this answer if it
 	// has sent another one.
 	if m.Shift == r.Shift && m.Tick == r.Tick && ctx.Err() == nil {
-		o.Orders = c.fleet.Orders(m, c.now(), true)
+		o.Orders = c.fleet.Orders(m, c.now(), c.launches())
 	}
 	return o, true
 }
 
+// launches reports whether launches may be given. In an outage that begins
+// between the commit of a launch and its answer, another node may have confirmed
+// that the job is cancelled: the launch waits until that would be known.
+func (c *Controller) launches() bool {
+	return c.now().Sub(c.Mirror.Fresh()) < c.Config.HoldTTL()
+}
+
 // release lets a held answer to a machine go.
 func (c *Controller) release(m *fleet.Machine) {
 	if wake := c.held[m.ID]; wake != nil {
--- a/internal/controller/lost.go
+++ b/internal/controller/lost.go
@@ -26,7 +26,7 @@
 // every machine behind a cut between zones was returned with all it served.
 func (c *Controller) hearKept(ctx context.Context) {
 	hold, pause := c.Config.Lease(), c.Config.ReportEvery()
-	ledger.Follow(ctx, c.Store, ledger.KeptPrefix, hold, pause, func([]wire.Item, uint64) {}, func(n wire.News) {
+	ledger.Follow(ctx, c.Store, ledger.KeptPrefix, hold, pause, ledger.Funcs{Changed: func(n wire.News) {
 		var kept ledger.Kept
 		if n.Set == "" {
 			return
@@ -43,7 +43,7 @@
 				m.Heard = now
 			}
 		}
-	})
+	}})
 }
 
 // excuse gives every machine the time again that it has to report: a leader
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -133,7 +133,8 @@
 	}
 }
 
-func (e *Elector) reset(rows []wire.Item, _ uint64) {
+// Reset takes a listing of the keys of the election.
+func (e *Elector) Reset(rows []wire.Item, _ uint64, _ time.Time) {
 	e.mu.Lock()
 	e.view.Synced = true
 	leading := false
@@ -148,12 +149,15 @@
 	e.poke()
 }
 
-func (e *Elector) change(n wire.News) {
+// Apply takes changes of the keys of the election.
+func (e *Elector) Apply(ch wire.Changes, _ uint64, _ time.Time) {
 	e.mu.Lock()
-	if n.Drop == ledger.LeaderKey && n.Stamp > e.view.Term {
-		e.view.Leader = ""
-	} else if n.Set != "" {
-		e.learn(n.Set, n.Value, n.Stamp)
+	for _, n := range ch.News {
+		if n.Drop == ledger.LeaderKey && n.Stamp > e.view.Term {
+			e.view.Leader = ""
+		} else if n.Set != "" {
+			e.learn(n.Set, n.Value, n.Stamp)
+		}
 	}
 	e.mu.Unlock()
 	e.poke()
@@ -180,7 +184,7 @@
 
 // Run takes part in elections until ctx ends.
 func (e *Elector) Run(ctx context.Context) {
-	go ledger.Follow(ctx, e.store, ledger.ElectionPrefix, 2*e.ttl, e.ttl/8, e.reset, e.change)
+	go ledger.Follow(ctx, e.store, ledger.ElectionPrefix, 2*e.ttl, e.ttl/8, e)
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
--- a/internal/ledger/mirror.go
+++ b/internal/ledger/mirror.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"log/slog"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lotusstile.dev/lotusstile/internal/store"
@@ -19,10 +21,18 @@
 	Changes(ctx context.Context, under string, after uint64, hold time.Duration) (wire.Changes, error)
 }
 
-// Follow keeps a view of the keys under a prefix: it lists them, then watches.
-// reset gets each listing, change each later change. It returns when ctx ends.
-func Follow(ctx context.Context, r Reader, under string, hold, pause time.Duration,
-	reset func(rows []wire.Item, epoch uint64), change func(n wire.News)) {
+// Follower is what a prefix is followed for. begun is when the read that an
+// update stems from began: whatever was committed before is part of it.
+type Follower interface {
+	// Reset takes a whole listing, made at epoch.
+	Reset(rows []wire.Item, epoch uint64, begun time.Time)
+	// Apply takes what changed after the epoch after.
+	Apply(ch wire.Changes, after uint64, begun time.Time)
+}
+
+// Follow keeps f up to date with the keys under a prefix: it lists them, then
+// watches. It returns when ctx ends.
+func Follow(ctx context.Context, r Reader, under string, hold, pause time.Duration, f Follower) {
 	sleep := func() {
 		select {
 		case <-ctx.Done():
@@ -30,14 +40,16 @@
 		}
 	}
 	for ctx.Err() == nil {
+		begun := time.Now()
 		rows, epoch, err := r.List(ctx, under)
 		if err != nil {
 			slog.Debug("cannot list", "under", under, "err", err)
 			sleep()
 			continue
 		}
-		reset(rows, epoch)
+		f.Reset(rows, epoch, begun)
 		for ctx.Err() == nil {
+			begun := time.Now()
 			ch, err := r.Changes(ctx, under, epoch, hold)
 			if errors.Is(err, store.ErrTooOld) {
 				break
@@ -47,14 +59,36 @@
 				sleep()
 				continue
 			}
-			for _, n := range ch.News {
-				change(n)
-			}
+			f.Apply(ch, epoch, begun)
 			epoch = max(epoch, ch.Epoch)
 		}
 	}
 }
 
+// Funcs makes a Follower of functions that get one key's news each: Listed those
+// of a listing, Changed those of a later change. Either may be nil.
+type Funcs struct{ Listed, Changed func(n wire.News) }
+
+// Reset hands on the keys of a listing.
+func (f Funcs) Reset(rows []wire.Item, _ uint64, _ time.Time) {
+	if f.Listed == nil {
+		return
+	}
+	for _, row := range rows {
+		f.Listed(wire.News{Set: row.Key, Value: row.Value, Stamp: row.Stamp})
+	}
+}
+
+// Apply hands on changes.
+func (f Funcs) Apply(ch wire.Changes, _ uint64, _ time.Time) {
+	if f.Changed == nil {
+		return
+	}
+	for _, n := range ch.News {
+		f.Changed(n)
+	}
+}
+
 // Entry is a job and the stamp of its record.
 type Entry struct {
 	Job   *Job
@@ -68,10 +102,16 @@
 // Mirror is a node's copy of the jobs that are not archived. Every node keeps
 // one, so that a follower knows which jobs are withdrawn and a new leader
 // starts warm.
+//
+// It knows how old its knowledge is. That is not when a request was last
+// answered: a watch may wait through a refusal, hang on a dead connection or
+// sleep after an error while other requests of the node succeed. It is when the
+// read began that it was last brought up to date by.
 type Mirror struct {
 	mu       sync.Mutex
 	jobs     map[string]Entry
-	synced   bool
+	epoch    uint64                    // all changes up to here are taken
+	fresh    atomic.Pointer[time.Time] // all that was committed before is taken; nil before the first listing
 	listener Listener
 }
 
@@ -80,10 +120,32 @@
 
 // Run keeps the mirror up to date until ctx ends.
 func (m *Mirror) Run(ctx context.Context, r Reader, hold, pause time.Duration) {
-	Follow(ctx, r, JobPrefix, hold, pause, m.reset, m.change)
+	Follow(ctx, r, JobPrefix, hold, pause, m)
 }
 
-func (m *Mirror) reset(rows []wire.Item, epoch uint64) {
+// Refresh brings the mirror up to date with now, past the watch: it asks for
+// what has changed, without waiting for a change. Before the first listing it
+// does nothing.
+func (m *Mirror) Refresh(ctx context.Context, r Reader) error {
+	m.mu.Lock()
+	after := m.epoch
+	m.mu.Unlock()
+	if !m.Synced() {
+		return errors.New("jobs are not listed yet")
+	}
+	begun := time.Now()
+	ch, err := r.Changes(ctx, JobPrefix, after, 0)
+	if err != nil {
+		return fmt.Errorf("refresh jobs: %w", err)
+	}
+	m.Apply(ch, after, begun)
+	return nil
+}
+
+// Reset takes a listing. It was made over a while: only what was committed
+// before it began is sure to be in it, and later changes are taken once more
+// from its epoch on.
+func (m *Mirror) Reset(rows []wire.Item, epoch uint64, begun time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	seen := make(map[string]bool, len(rows))
@@ -97,17 +159,52 @@
 			m.drop(uid, epoch)
 		}
 	}
-	m.synced = true
+	// A listing may be older than what is known: what came between is then
+	// gone through again, or a job that was listed and has been archived since
+	// would stay for ever.
+	m.epoch = epoch
+	m.renew(begun)
 }
 
-func (m *Mirror) change(n wire.News) {
+// Apply takes what changed after an epoch. Two reads may overlap, a watch and a
+// Refresh: what is known already is passed over, and changes that do not
+// follow on what is known are not taken at all.
+func (m *Mirror) Apply(ch wire.Changes, after uint64, begun time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if n.Drop != "" {
-		m.drop(strings.TrimPrefix(n.Drop, JobPrefix), n.Stamp)
-		return
+	if after > m.epoch {
+		return // a listing went back behind it
+	}
+	for _, n := range ch.News {
+		if n.Stamp <= m.epoch {
+			continue
+		}
+		if n.Drop != "" {
+			m.drop(strings.TrimPrefix(n.Drop, JobPrefix), n.Stamp)
+		} else {
+			m.put(strings.TrimPrefix(n.Set, JobPrefix), n.Value, n.Stamp)
+		}
+	}
+	m.epoch = max(m.epoch, ch.Epoch)
+	m.renew(begun)
+}
+
+// renew notes that all that was committed before begun is known. m.mu is held.
+func (m *Mirror) renew(begun time.Time) {
+	if begun.After(m.Fresh()) {
+		m.fresh.Store(&begun)
+	}
+}
+
+// Hint takes a job's record that another node tells of, ahead of the state
+// service. It changes nothing about how old the mirror's knowledge is. A job
+// that is not known may be archived already and is left alone.
+func (m *Mirror) Hint(uid string, rec Job, stamp uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if old, ok := m.jobs[uid]; ok && old.Stamp < stamp {
+		m.take(uid, Entry{&rec, stamp})
 	}
-	m.put(strings.TrimPrefix(n.Set, JobPrefix), n.Value, n.Stamp)
 }
 
 func (m *Mirror) put(uid string, value json.RawMessage, stamp uint64) {
@@ -119,9 +216,13 @@
 		slog.Error("job record cannot be read", "uid", uid, "err", err)
 		return
 	}
-	m.jobs[uid] = Entry{&j, stamp}
+	m.take(uid, Entry{&j, stamp})
+}
+
+func (m *Mirror) take(uid string, e Entry) {
+	m.jobs[uid] = e
 	if m.listener != nil {
-		m.listener(uid, m.jobs[uid])
+		m.listener(uid, e)
 	}
 }
 
@@ -135,19 +236,32 @@
 	}
 }
 
-// Synced reports whether the mirror has caught up once.
-func (m *Mirror) Synced() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.synced
+// Fresh is the time up to which every commit is known: the zero time before the
+// first listing. It takes no lock: a Listener's locks may be held by the caller.
+func (m *Mirror) Fresh() time.Time {
+	if at := m.fresh.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
 }
 
-// Aborted reports whether the job is known to be withdrawn.
-func (m *Mirror) Aborted(uid string) bool {
+// Synced reports whether the mirror has caught up once.
+func (m *Mirror) Synced() bool { return !m.Fresh().IsZero() }
+
+// Withdrawn tells which of the jobs are withdrawn, as far as is known, and up to
+// which time every withdrawal is known.
+func (m *Mirror) Withdrawn(uids []string) (withdrawn map[string]bool, fresh time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	e, ok := m.jobs[uid]
-	return ok && e.Job.Status == wire.JobAborted
+	for _, uid := range uids {
+		if e, ok := m.jobs[uid]; ok && e.Job.Status == wire.JobAborted {
+			if withdrawn == nil {
+				withdrawn = map[string]bool{}
+			}
+			withdrawn[uid] = true
+		}
+	}
+	return withdrawn, m.Fresh()
 }
 
 // Listen hands every known job and then every change to l, one at a time, or
--- /dev/null
+++ b/internal/ledger/mirror_test.go
@@ -0,0 +1,193 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lotusstile.dev/lotusstile/internal/store"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// records is a state service of job records with a history.
+type records struct {
+	epoch uint64
+	items map[string]wire.Item
+	log   []wire.News
+	kept  uint64 // changes up to here are forgotten
+}
+
+func (s *records) set(uid string, status wire.JobStatus) {
+	s.epoch++
+	key := JobKey(uid)
+	item := wire.Item{Key: key, Value: Encode(Job{Status: status}), Stamp: s.epoch}
+	s.items[key] = item
+	s.log = append(s.log, wire.News{Set: key, Value: item.Value, Stamp: s.epoch})
+}
+
+func (s *records) drop(uid string) {
+	s.epoch++
+	delete(s.items, JobKey(uid))
+	s.log = append(s.log, wire.News{Drop: JobKey(uid), Stamp: s.epoch})
+}
+
+func (s *records) List(context.Context, string) ([]wire.Item, uint64, error) {
+	var rows []wire.Item
+	for _, it := range s.items {
+		rows = append(rows, it)
+	}
+	return rows, s.epoch, nil
+}
+
+func (s *records) Changes(_ context.Context, _ string, after uint64, _ time.Duration) (wire.Changes, error) {
+	if after < s.kept {
+		return wire.Changes{}, store.ErrTooOld
+	}
+	ch := wire.Changes{Epoch: s.epoch}
+	for _, n := range s.log {
+		if n.Stamp > after {
+			ch.News = append(ch.News, n)
+		}
+	}
+	return ch, nil
+}
+
+// A mirror that says that it is fresh up to a time knows every withdrawal that
+// was committed before, and no job stays in it that was dropped before, however
+// reads overlap: listings, watches and refreshes that are answered late, hints,
+// and changes that are no longer kept. A withdrawal that it knew once is not
+// forgotten while the job has a record.
+func TestMirrorKnowsWhatItSays(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &records{items: map[string]wire.Item{}}
+		m := NewMirror()
+		clock := time.Unix(1000, 0)
+		type then struct { // the records as they stood at a time
+			at    time.Time
+			epoch uint64
+			items map[string]wire.Item
+		}
+		var history []then
+		var late []func() // answers that are under way
+		for range rapid.IntRange(5, 100).Draw(t, "steps") {
+			clock = clock.Add(time.Second)
+			uid := fmt.Sprintf("run-%06d", rapid.IntRange(0, 1).Draw(t, "job"))
+			it, exists := s.items[JobKey(uid)]
+			begun := clock
+			answer := func(f func()) {
+				if rapid.Bool().Draw(t, "late") {
+					late = append(late, f)
+				} else {
+					f()
+				}
+			}
+			switch rapid.IntRange(0, 14).Draw(t, "step") {
+			case 0, 1, 2, 3:
+				if exists && !strings.Contains(string(it.Value), string(wire.JobAborted)) {
+					s.set(uid, wire.JobAborted)
+					if stamp := s.epoch; rapid.Bool().Draw(t, "hint") {
+						answer(func() { m.Hint(uid, Job{Status: wire.JobAborted}, stamp) })
+					}
+				} else if !exists {
+					s.set(uid, wire.JobQueued)
+				}
+			case 4, 5:
+				if exists {
+					s.drop(uid)
+				}
+			case 6, 7, 8:
+				m.mu.Lock()
+				after := m.epoch
+				m.mu.Unlock()
+				if ch, err := s.Changes(t.Context(), JobPrefix, after, 0); err == nil && m.Synced() {
+					answer(func() { m.Apply(ch, after, begun) })
+				}
+			case 9, 10:
+				rows, epoch, _ := s.List(t.Context(), JobPrefix)
+				answer(func() { m.Reset(rows, epoch, begun) })
+			case 11, 12, 13:
+				if len(late) > 0 {
+					i := rapid.IntRange(0, len(late)-1).Draw(t, "which")
+					late[i]()
+					late = append(late[:i], late[i+1:]...)
+				}
+			case 14:
+				if rapid.IntRange(0, 9).Draw(t, "forget") == 0 {
+					s.kept = s.epoch
+				}
+			}
+			history = append(history, then{clock, s.epoch, maps.Clone(s.items)})
+			for _, h := range slices.Backward(history) {
+				if h.at.After(m.Fresh()) {
+					continue
+				}
+				for key, it := range h.items {
+					uid := strings.TrimPrefix(key, JobPrefix)
+					if s.items[key].Stamp != it.Stamp {
+						continue // its record has changed since
+					}
+					if m.jobs[uid].Stamp != it.Stamp {
+						t.Fatalf("fresh up to %v, but %s is known as of %d, not %d", m.Fresh().Unix(), uid, m.jobs[uid].Stamp, it.Stamp)
+					}
+					w, fresh := m.Withdrawn([]string{uid})
+					if w[uid] != (m.jobs[uid].Job.Status == wire.JobAborted) || !fresh.Equal(m.Fresh()) {
+						t.Fatalf("%s withdrawn: %v up to %v", uid, w[uid], fresh)
+					}
+				}
+				break
+			}
+		}
+		// Once all is told, the mirror is what the records are.
+		for _, f := range late {
+			f()
+		}
+		if err := m.Refresh(t.Context(), s); err != nil {
+			rows, epoch, _ := s.List(t.Context(), JobPrefix)
+			m.Reset(rows, epoch, clock)
+		}
+		if len(m.jobs) != len(s.items) {
+			t.Fatalf("%d jobs are known, there are %d", len(m.jobs), len(s.items))
+		}
+		for uid, e := range m.jobs {
+			if s.items[JobKey(uid)].Stamp != e.Stamp {
+				t.Fatalf("%s is known as of %d", uid, e.Stamp)
+			}
+		}
+	})
+}
+
+// A listing that is answered late, after what it shows was archived, and a change
+// that was asked for before it: the job must not stay for ever.
+func TestMirrorForgetsWhatIsArchived(t *testing.T) {
+	s := &records{items: map[string]wire.Item{}}
+	m := NewMirror()
+	at := time.Unix(1000, 0)
+	refresh := func() func() {
+		ch, err := s.Changes(t.Context(), JobPrefix, m.epoch, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		after := m.epoch
+		return func() { m.Apply(ch, after, at) }
+	}
+	m.Reset(nil, 0, at)
+	s.set("run-000001", wire.JobQueued)
+	rows, epoch, _ := s.List(t.Context(), JobPrefix)
+	refresh()()
+	s.drop("run-000001")
+	refresh()()
+	s.set("run-000002", wire.JobQueued)
+	late := refresh()
+	m.Reset(rows, epoch, at)
+	late() // follows on what the listing went back behind
+	refresh()()
+	if _, known := m.jobs["run-000001"]; known || m.jobs["run-000002"].Job == nil {
+		t.Errorf("known are %v", m.jobs)
+	}
+}
