--- a/internal/api/load_test.go
+++ b/internal/api/load_test.go
@@ -13,6 +13,8 @@
 	"github.com/labstack/echo/v4"
 
 	"lotusstile.dev/lotusstile/internal/config"
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/peer"
 	"lotusstile.dev/lotusstile/internal/store"
 	"lotusstile.dev/lotusstile/wire"
 )
@@ -184,3 +186,49 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// slowState answers every read of a key with a job that is not withdrawn, and lets
+// something happen between the read and its answer.
+type slowState struct {
+	always
+	meanwhile func()
+}
+
+func (s *slowState) RoundTrip(r *http.Request) (*http.Response, error) {
+	if !strings.HasPrefix(r.URL.Path, "/kv/") {
+		return s.always.RoundTrip(r)
+	}
+	rec := httptest.NewRecorder()
+	rec.Body.Write(encode(wire.Item{Key: "j/run-000001", Stamp: 7, Value: encode(ledger.Job{Spec: wire.Work{Uid: "run-000001", Legs: 1}, Status: wire.JobQueued, Per: 1})}))
+	if s.meanwhile != nil {
+		s.meanwhile()
+	}
+	return rec.Result(), nil
+}
+
+// A question whose read is slow is not answered with what was true before another
+// node confirmed that the job is cancelled.
+func TestAnswersAreNotOlderThanWhatWasTold(t *testing.T) {
+	cfg := &config.Config{}
+	cfg.Cluster.Workers.LeaseS, cfg.Cluster.Workers.ReportS, cfg.Cluster.State.ValueKb = 10, 1, 8
+	cfg.Cluster.State.Rps, cfg.Cluster.State.WriteRps, cfg.Cluster.Cloud.Rps, cfg.Cluster.Limits.MaxConnections = 100, 100, 1, 100
+	state := &slowState{always: http.StatusOK}
+	n := New(cfg, Network{State: state})
+	if _, _, err := n.store.Get(t.Context(), "e/term"); err != nil { // the state service is reached
+		t.Fatal(err)
+	}
+	ask := func() string {
+		rec := httptest.NewRecorder()
+		n.echo.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/work/run-000001", nil))
+		return rec.Body.String()
+	}
+	if got := ask(); !strings.Contains(got, `"queued"`) {
+		t.Fatalf("before it is told %s", got)
+	}
+	state.meanwhile = func() {
+		n.Withdrawn(peer.WithdrawnArgs{Uid: "run-000001", Rec: ledger.Job{Status: wire.JobAborted}, Stamp: 8})
+	}
+	if got := ask(); !strings.Contains(got, `"aborted"`) {
+		t.Errorf("after another node told that it is cancelled: %s", got)
+	}
+}
--- a/internal/api/users.go
+++ b/internal/api/users.go
@@ -234,6 +234,11 @@
 			n.finals.put(uid, rec.Status)
 		} else {
 			n.counts(&view)
+			// Reading and counting take time: a final status that was told meanwhile,
+			// here or at a peer, is not answered with something older.
+			if s, ok := n.finals.get(uid); ok {
+				view = wire.JobView{Uid: uid, Status: s}
+			}
 		}
 		return view, true, nil
 	}
