fleetsim: fakes of all that a controller works with, on loopback, to profile real processes

State service, cloud, workers and users of internal/standin listen on loopback; real controllers are started with the settings files that it writes.

--- /dev/null
+++ b/cmd/fleetsim/main.go
@@ -0,0 +1,163 @@
+// Command fleetsim runs a fake state service, a fake cloud, workers and users on
+// this machine's loopback interface. lotusstile can be tried and profiled
+// against them; docs/operations.md shows how.
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"lotusstile.dev/lotusstile/internal/config"
+	"lotusstile.dev/lotusstile/internal/standin"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+type cli struct {
+	Dir       string        `required:"" type:"path" help:"Folder for the controllers' settings files (node-0.toml and so on)."`
+	Port      int           `default:"18070" help:"First of the loopback ports that are used."`
+	Machines  int           `default:"100" help:"Machines that are up at the start."`
+	Services  int           `default:"150" help:"Services that are submitted at the start."`
+	PerMinute float64       `default:"50" help:"Jobs submitted a minute after that."`
+	Stay      time.Duration `default:"4m" help:"How long services stay on the mean."`
+	Poll      time.Duration `default:"5s" help:"How often a user asks about a job."`
+	Delay     time.Duration `default:"4ms" help:"What the state service and the cloud take to answer."`
+	For       time.Duration `default:"2m" help:"How long to run."`
+	Seed      uint64        `default:"1" help:"Seed of what happens by chance."`
+}
+
+// nodes is how many controllers the settings files are made for.
+const nodes = 3
+
+const settings = `label = "node-%[1]d"
+location = "%[2]s"
+listen = "%[3]s"
+mesh_addr = "%[4]s"
+%[5]s
+[services]
+state = "127.0.0.1:%[6]d"
+cloud = "127.0.0.1:%[7]d"
+[cluster]
+size = 3
+zones = ["a", "b"]
+skew_ms = 100.0
+[[cluster.teams]]
+name = "team"
+[cluster.workers]
+report_s = 1.0
+lease_s = 10.0
+cancel_s = 40.0
+[cluster.state]
+rps = 250.0
+write_rps = 100.0
+value_kb = 8.0
+txn_ops = 24
+[cluster.cloud]
+rps = 6.0
+list_lag_s = 3.0
+[cluster.machine_limits]
+cores = 0.05
+mem_mb = 65.0
+max_connections = 700
+`
+
+func main() {
+	var c cli
+	kong.Parse(&c, kong.Name("fleetsim"), kong.Description("Fakes of all that lotusstile works with, on loopback."), kong.UsageOnError())
+	if err := c.run(); err != nil {
+		fmt.Fprintln(os.Stderr, "fleetsim:", err)
+		os.Exit(1)
+	}
+}
+
+func (c *cli) listen(i int) string { return fmt.Sprintf("127.0.0.1:%d", c.Port+10+i) }
+func (c *cli) mesh(i int) string   { return fmt.Sprintf("127.0.0.1:%d", c.Port+20+i) }
+
+// settingsOf makes the settings file of controller i.
+func (c *cli) settingsOf(i int) string {
+	zone := func(i int) string { return string(rune('a' + i%2)) }
+	var members strings.Builder
+	for j := range nodes {
+		if j != i {
+			fmt.Fprintf(&members, "[[members]]\nlabel = \"node-%d\"\nlocation = %q\nendpoint = %q\n", j, zone(j), c.mesh(j))
+		}
+	}
+	return fmt.Sprintf(settings, i, zone(i), c.listen(i), c.mesh(i), members.String(), c.Port, c.Port+1)
+}
+
+func (c *cli) run() error {
+	for i := range nodes {
+		path := filepath.Join(c.Dir, fmt.Sprintf("node-%d.toml", i))
+		if err := os.WriteFile(path, []byte(c.settingsOf(i)), 0o644); err != nil {
+			return fmt.Errorf("write settings: %w", err)
+		}
+	}
+	cfg, err := config.Parse([]byte(c.settingsOf(0)))
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	network := standin.NewNetwork(rand.New(rand.NewPCG(c.Seed, 0)))
+	labels := make([]string, nodes)
+	for i := range nodes {
+		labels[i] = fmt.Sprintf("node-%d", i)
+		network.Attach(labels[i], standin.NewRemoteNode(c.listen(i)), nil)
+	}
+	world := standin.NewWorld(cfg, network, labels, catalog)
+	world.Capacity, world.PollEvery = 2*c.Machines, c.Poll
+	world.ListenWorker = func(h http.Handler) string {
+		address, err := standin.Listen("127.0.0.1:0", h)
+		if err != nil {
+			slog.Error("worker does not listen", "err", err)
+		}
+		return address
+	}
+	if _, err := standin.Listen(fmt.Sprintf("127.0.0.1:%d", c.Port), standin.Delayed(world.State, c.Delay)); err != nil {
+		return fmt.Errorf("state service: %w", err)
+	}
+	if _, err := standin.Listen(fmt.Sprintf("127.0.0.1:%d", c.Port+1), standin.Delayed(world.CloudHandler(), c.Delay)); err != nil {
+		return fmt.Errorf("cloud: %w", err)
+	}
+	world.AddMachines("g8", "a", c.Machines/2)
+	world.AddMachines("g8", "b", c.Machines-c.Machines/2)
+	fmt.Printf("settings in %s; start the controllers with them\n", c.Dir)
+	c.load(world)
+	fmt.Printf("%d tasks started; rules broken: %q\n", world.Started(), world.Broken())
+	return nil
+}
+
+var catalog = wire.Catalog{Rigs: []wire.Rig{
+	{Sku: "g8", Cores: 96, Gpus: 8, RamGb: 576, LocalGb: 400, PullGbPerS: 2, Hourly: 24, LowPrice: 6, BootS: 15, Yards: []string{"a", "b"}},
+}}
+
+// load submits jobs until the time is over.
+func (c *cli) load(world *standin.World) {
+	rng := rand.New(rand.NewPCG(c.Seed, 1))
+	deadline := time.Now().Add(c.For)
+	user := func(i int, batch bool) {
+		spec := wire.Work{Uid: fmt.Sprintf("run-%06d", i), Berth: "serve", Crew: "team", Shape: wire.Standing, Rank: wire.High,
+			Legs: 1 << rng.IntN(4), Cores: 8, Gpus: 1, RamGb: 40, Rollout: fmt.Sprintf("img-%d", rng.IntN(8)), ImageGb: 8}
+		stay := time.Duration(rng.ExpFloat64() * float64(c.Stay))
+		if batch {
+			spec.Berth, spec.Shape, spec.Rank, spec.Standby = "batch", wire.Sweep, wire.BestEffort, true
+			spec.Legs, spec.ExpectS, stay = 5+rng.IntN(40), 70, 0
+		}
+		go world.User(spec, stay, deadline)
+	}
+	serial := 1
+	for range c.Services {
+		user(serial, false)
+		serial++
+	}
+	for time.Now().Before(deadline) {
+		time.Sleep(time.Duration(rng.ExpFloat64() * 60 / c.PerMinute * float64(time.Second)))
+		user(serial, rng.IntN(4) == 0)
+		serial++
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -16,6 +16,7 @@
 // Worker is one machine and the worker on it.
 type Worker struct {
 	Host, Rig, Yard string
+	Address         string // for direct commands
 	Standby         bool
 
 	w    *World
@@ -172,7 +173,7 @@
 // body makes the report as it stands. k.mu is held.
 func (k *Worker) body() []byte {
 	k.tick++
-	r := wire.Report{Host: k.Host, Address: k.Host, Rig: k.Rig, Yard: k.Yard, Standby: k.Standby, Shift: k.shift, Tick: k.tick, Baton: k.baton, Legs: []wire.LegReport{}}
+	r := wire.Report{Host: k.Host, Address: k.Address, Rig: k.Rig, Yard: k.Yard, Standby: k.Standby, Shift: k.shift, Tick: k.tick, Baton: k.baton, Legs: []wire.LegReport{}}
 	for key, l := range k.legs {
 		r.Legs = append(r.Legs, wire.LegReport{Leg: key.name, Try: key.try, Status: l.status, Cause: l.cause, Kept: l.kept})
 	}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -47,6 +47,10 @@
 	Capacity int
 	Boot     time.Duration // of rented machines; 0: by chance
 	Mistaken string        // class of jobs that fail on every machine
+	// ListenWorker, if set, lets a worker listen for direct commands and returns
+	// its address; without it, workers are reached over Net by their names.
+	ListenWorker func(h http.Handler) (address string)
+	PollEvery    time.Duration // how often a user asks about a job
 
 	over        atomic.Bool
 	CloseLooks  bool // users ask at all nodes at once when something is new
@@ -65,7 +69,7 @@
 	w := &World{Cfg: cfg, Net: nw, State: NewState(), Catalog: cat, Nodes: nodes, begun: time.Now(), workers: map[string]*Worker{},
 		bookings: map[string][]string{}, specs: map[string]wire.Work{}, done: map[string]map[int]bool{},
 		on: map[string]map[string]bool{}, aborted: map[string]time.Time{}, asked: map[string]bool{}, accepted: map[string]time.Time{},
-		final: map[string]finalWord{}, waits: map[string]time.Time{}, begins: map[string]time.Time{}, Capacity: 12}
+		final: map[string]finalWord{}, waits: map[string]time.Time{}, begins: map[string]time.Time{}, Capacity: 12, PollEvery: 3 * time.Second}
 	w.State.Judge = w.judgeCommit
 	nw.Attach(cfg.Services.State, w.State, nil)
 	nw.Attach(cfg.Services.Cloud, http.HandlerFunc(w.cloud), nil)
@@ -310,7 +314,7 @@
 			if age < wk.boot {
 				status = wire.HostBooting
 			}
-			out.Hosts = append(out.Hosts, wire.ListedHost{Uid: wk.Host, Address: wk.Host, Rig: wk.Rig, Yard: wk.Yard, Standby: wk.Standby, Status: status, AgeS: age.Seconds()})
+			out.Hosts = append(out.Hosts, wire.ListedHost{Uid: wk.Host, Address: wk.Address, Rig: wk.Rig, Yard: wk.Yard, Standby: wk.Standby, Status: status, AgeS: age.Seconds()})
 		}
 		sort.Slice(out.Hosts, func(i, j int) bool { return out.Hosts[i].Uid < out.Hosts[j].Uid })
 		after := r.URL.Query().Get("After")
@@ -357,6 +361,10 @@
 	w.serial++
 	wk := newWorker(w, host, rig, yard, standby, boot)
 	w.workers[host] = wk
+	wk.Address = host
+	if w.ListenWorker != nil {
+		wk.Address = w.ListenWorker(http.HandlerFunc(wk.serve))
+	}
 	w.Net.Attach(host, http.HandlerFunc(wk.serve), nil)
 	go wk.run()
 	return host
@@ -475,7 +483,7 @@
 			}
 			continue
 		}
-		time.Sleep(3 * time.Second)
+		time.Sleep(w.PollEvery)
 	}
 }
 
