Check-ins wait for commands only where a launch is likely to come up

Cause: every check-in without commands waited half a report's interval. Each wait costs a timer, two wake-ups and a system call more.

Ruled out by a trial: keeping the runtime's monitor thread from sleeping deeply.

--- a/internal/api/reports.go
+++ b/internal/api/reports.go
@@ -14,6 +14,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"lotusstile.dev/lotusstile/internal/controller"
 	"lotusstile.dev/lotusstile/internal/ledger"
 	"lotusstile.dev/lotusstile/internal/peer"
 	"lotusstile.dev/lotusstile/internal/store"
@@ -122,7 +123,7 @@
 // neither, no term is known yet.
 func (n *Node) orders(ctx context.Context, r *wire.Report, body []byte, direct bool) (*wire.Orders, *wire.Redirect) {
 	if c := n.lead.Load(); c != nil {
-		if o, ok := c.CheckIn(ctx, r, direct); ok {
+		if o, ok := c.CheckIn(ctx, r, controller.CheckInOptions{Relayed: !direct, MayWait: direct && !n.load.behind.Load()}); ok {
 			return &o, nil
 		}
 		return nil, &wire.Redirect{}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -84,7 +84,8 @@
 	returnKeys     int // counter in their keys
 	arrive         map[string]*arrivals
 	told           map[string]time.Time     // announcements
-	held           map[string]chan struct{} // answers that wait for something to order, by machine
+	waitingAnswers map[string]chan struct{} // check-ins that wait for commands, by machine
+	leastNeed      fleet.Res                // what the smallest task that is likely to come takes
 	cutOff         map[string]time.Time     // by zone: when most of it was last silent
 	noted          map[string]imageNote     // which images of a machine are recorded
 	kept           map[string]bool          // machines kept as spare room by the last round
@@ -98,7 +99,7 @@
 func New(d Deps, term uint64) *Controller {
 	c := &Controller{Deps: d, term: term, wake: make(chan struct{}, 1), news: make(chan struct{}, 1), back: make(chan struct{}, 1), now: time.Now,
 		jobs: map[string]*job{}, pending: map[string]*rental{}, refused: map[provision.Group]refusal{},
-		arrive: map[string]*arrivals{}, cutOff: map[string]time.Time{}, noted: map[string]imageNote{}, told: map[string]time.Time{}, held: map[string]chan struct{}{}}
+		arrive: map[string]*arrivals{}, cutOff: map[string]time.Time{}, noted: map[string]imageNote{}, told: map[string]time.Time{}, waitingAnswers: map[string]chan struct{}{}}
 	c.fleet = fleet.New(term, d.Config.Lease(), c)
 	c.returns = map[string]*giveBack{}
 	c.begun = c.now()
@@ -298,77 +299,11 @@
 	}
 }
 
-// CheckIn answers a worker's report. ok is false if the report shows that this
-// term is over. With hold set, an answer that has nothing to order waits a
-// part of a report's interval for something: launches and stops then travel at
-// once instead of with the next report. Without it, another node relays the
-// report and cannot wait. The lease runs from when the report
-// was sent, so the wait costs it nothing.
-func (c *Controller) CheckIn(ctx context.Context, r *wire.Report, hold bool) (o wire.Orders, ok bool) {
-	if r.Baton > c.term {
-		c.Saw(r.Baton)
-		c.depose("a worker has seen a higher token")
-		return wire.Orders{}, false
-	}
-	o = wire.Orders{Baton: c.term, Orders: []wire.Order{}}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.loaded {
-		return o, true
-	}
-	m, fresh := c.fleet.Report(r, c.now())
-	if !fresh {
-		return o, true
-	}
-	c.capacity(m)
-	if !hold {
-		m.Relayed = c.now()
-	}
-	if o.Orders = c.fleet.Orders(m, c.now(), c.launches()); len(o.Orders) > 0 || !hold || m.State != fleet.Ready {
-		return o, true
-	}
-	wake := make(chan struct{})
-	c.held[m.ID] = wake
-	c.mu.Unlock()
-	t := time.NewTimer(c.Config.ReportEvery() / 2)
-	select {
-	case <-wake:
-	case <-t.C:
-	case <-ctx.Done():
-	}
-	t.Stop()
-	c.mu.Lock()
-	if c.held[m.ID] == wake {
-		delete(c.held, m.ID)
-	}
-	// Orders answer the newest report only: the worker drops this answer if it
-	// has sent another one.
-	if m.Shift == r.Shift && m.Tick == r.Tick && ctx.Err() == nil {
-		o.Orders = c.fleet.Orders(m, c.now(), c.launches())
-	}
-	return o, true
-}
-
-// launches reports whether launches may be given. In an outage that begins
-// between the commit of a launch and its answer, another node may have confirmed
-// that the job is cancelled: the launch waits until that would be known.
-func (c *Controller) launches() bool {
-	return c.now().Sub(c.Mirror.Fresh()) < c.Config.HoldTTL()
-}
-
-// release lets a held answer to a machine go.
-func (c *Controller) release(m *fleet.Machine) {
-	if wake := c.held[m.ID]; wake != nil {
-		delete(c.held, m.ID)
-		close(wake)
-	}
-}
-
 // stop asks for the end of an attempt.
 func (c *Controller) stop(a *fleet.Attempt, leewayS float64, now time.Time, why string) {
 	c.fleet.StopAttempt(a, leewayS, now, why)
 	if a.Live() {
-		c.release(a.Machine)
+		c.answerNow(a.Machine)
 	}
 }
 
@@ -416,7 +351,7 @@
 func (c *Controller) AttemptChanged(a *fleet.Attempt, from fleet.AttemptState, why string) {
 	slog.Info("attempt", "leg", a.Name(), "try", a.Try, "host", a.Machine.ID, "from", from.String(), "to", a.State.String(), "why", why)
 	if a.State == fleet.Committed {
-		c.release(a.Machine)
+		c.answerNow(a.Machine)
 	}
 	j := c.jobs[a.Uid]
 	if j == nil {
