The leader sends counts of tasks with its answers to pings

Cause: each poll at a follower called the leader for two counts, 7 calls a second from each follower. The leader now sends the counts that have changed since the last ping, four times a hold: they are at most that old. A peer that does not send them is asked as before.

--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -44,6 +44,7 @@
 	cat      atomic.Pointer[wire.Catalog]
 	settings atomic.Pointer[wire.Settings]
 	finals   finals
+	counts   taskCounts
 
 	mu       sync.Mutex
 	contacts map[string]contact   // by machine: how it was answered in the leader's place
@@ -205,9 +206,12 @@
 // ping keeps in touch with a peer.
 func (n *Node) ping(ctx context.Context, p *peer.Peer) {
 	for ctx.Err() == nil {
-		if r, err := p.Ping(peer.PingArgs{From: n.cfg.Label, Term: n.elector.View().Term}); err != nil {
+		args := peer.PingArgs{From: n.cfg.Label, Term: n.elector.View().Term}
+		args.CountsTerm, args.CountsRevision = n.counts.known(p.Label)
+		if r, err := p.Ping(args); err != nil {
 			slog.Debug("peer not reached", "peer", p.Label, "err", err)
 		} else if r.Leading {
+			n.counts.update(p.Label, args, r, n.mirror)
 			n.elector.Saw(r.Term, p.Label)
 		}
 		time.Sleep(n.cfg.HoldTTL() / 4)
@@ -222,6 +226,11 @@
 		if a.Term > c.Term() {
 			n.elector.Saw(a.Term, "")
 		}
+		since := a.CountsRevision
+		if a.CountsTerm != c.Term() {
+			since = 0
+		}
+		r.Counts, r.CountsRevision = c.CountsSince(since)
 	}
 	return r
 }
--- a/internal/api/users.go
+++ b/internal/api/users.go
@@ -233,7 +233,7 @@
 		if rec.Status.Final() {
 			n.finals.put(uid, rec.Status)
 		} else {
-			n.counts(&view)
+			n.addCounts(&view)
 			// Reading and counting take time: a final status that was told meanwhile,
 			// here or at a peer, is not answered with something older.
 			if s, ok := n.finals.get(uid); ok {
@@ -257,14 +257,25 @@
 	return view, true, nil
 }
 
-// counts adds how many tasks are done and running, as far as the leader tells.
-func (n *Node) counts(view *wire.JobView) {
+// countsAt tells a job's counts as the leader had them at the last ping. A leader
+// that does not send them is asked.
+func (n *Node) countsAt(leader *peer.Peer, uid string) (done, running int) {
+	if done, running, ok := n.counts.get(leader.Label, n.elector.View().Term, uid); ok {
+		return done, running
+	}
+	r, err := leader.Counts(uid)
+	if err != nil {
+		slog.Debug("leader does not tell counts", "uid", uid, "err", err)
+	}
+	return r.Done, r.Running
+}
+
+// addCounts adds how many tasks are done and running, as far as the leader tells.
+func (n *Node) addCounts(view *wire.JobView) {
 	if c := n.lead.Load(); c != nil {
 		view.Done, view.Running, _ = c.Counts(view.Uid)
 	} else if p := n.leader(); p != nil {
-		if r, err := p.Counts(view.Uid); err == nil {
-			view.Done, view.Running = r.Done, r.Running
-		}
+		view.Done, view.Running = n.countsAt(p, view.Uid)
 	}
 	if view.Running > 0 {
 		view.Status = wire.JobRunning
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -79,6 +79,7 @@
 	pending        map[string]*rental
 	refused        map[provision.Group]refusal
 	window         int
+	countsRevision uint64 // counts changes of jobs' counts of tasks
 	returns        map[string]*giveBack
 	returnsRecords []returnsRecord
 	returnKeys     int // counter in their keys
@@ -102,6 +103,7 @@
 		arrive: map[string]*arrivals{}, cutOff: map[string]time.Time{}, noted: map[string]imageNote{}, told: map[string]time.Time{}, waitingAnswers: map[string]chan struct{}{}}
 	c.fleet = fleet.New(term, d.Config.Lease(), c)
 	c.returns = map[string]*giveBack{}
+	c.countsRevision = 1
 	c.begun = c.now()
 	c.window = d.Settings().Window
 	return c
@@ -236,6 +238,7 @@
 		}
 	}
 	for _, j := range c.jobs {
+		c.countsChanged(j)
 		if j.rec.Status == wire.JobAborted {
 			j.each(func(a *fleet.Attempt) { c.stop(a, 0, now, "withdrawn") })
 		}
@@ -331,6 +334,29 @@
 	return nil
 }
 
+// CountsSince tells which jobs' counts of tasks have changed since a revision, and
+// the revision that they lead to: 0 until all is loaded.
+func (c *Controller) CountsSince(revision uint64) ([]wire.JobView, uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.loaded {
+		return nil, 0
+	}
+	var views []wire.JobView
+	for _, j := range c.jobs {
+		if j.countsRevision > revision {
+			views = append(views, wire.JobView{Uid: j.uid, Done: j.done, Running: j.running()})
+		}
+	}
+	return views, c.countsRevision
+}
+
+// countsChanged notes that a job's counts of tasks may have changed.
+func (c *Controller) countsChanged(j *job) {
+	c.countsRevision++
+	j.countsRevision = c.countsRevision
+}
+
 // Counts tells how many tasks of a job are done and running.
 func (c *Controller) Counts(uid string) (done, running int, ok bool) {
 	c.mu.Lock()
@@ -361,6 +387,7 @@
 		return
 	}
 	j.begun = j.begun || a.State == fleet.Running
+	c.countsChanged(j)
 	p := j.piece(a.Leg)
 	if from < fleet.Ended && !a.Live() && p.live[a.Leg] == a {
 		delete(p.live, a.Leg)
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -27,23 +27,24 @@
 
 // job is the leader's picture of a job.
 type job struct {
-	uid      string
-	rec      *ledger.Job
-	stamp    uint64
-	level    int
-	need     fleet.Res
-	pieces   map[int]*piece
-	done     int
-	live     int
-	freed    []int // tasks that wait again
-	cursor   int   // tasks from here on were never placed
-	begun    bool  // a task of it has run in this term
-	waitFrom time.Time
-	avoid    map[string]time.Time // machines it failed on
-	fails    int
-	lost     int       // tasks that ended against the job's will
-	hold     time.Time // not placed before
-	unsure   bool      // the outcome of its archiving is unknown
+	uid            string
+	rec            *ledger.Job
+	stamp          uint64
+	level          int
+	need           fleet.Res
+	pieces         map[int]*piece
+	done           int
+	live           int
+	freed          []int // tasks that wait again
+	cursor         int   // tasks from here on were never placed
+	begun          bool  // a task of it has run in this term
+	waitFrom       time.Time
+	avoid          map[string]time.Time // machines it failed on
+	fails          int
+	lost           int       // tasks that ended against the job's will
+	countsRevision uint64    // of the last change of its counts of tasks
+	hold           time.Time // not placed before
+	unsure         bool      // the outcome of its archiving is unknown
 }
 
 func newJob(uid string, e ledger.Entry, now time.Time) *job {
--- a/internal/ledger/mirror.go
+++ b/internal/ledger/mirror.go
@@ -248,6 +248,21 @@
 // Synced reports whether the mirror has caught up once.
 func (m *Mirror) Synced() bool { return !m.Fresh().IsZero() }
 
+// Len is the number of jobs.
+func (m *Mirror) Len() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.jobs)
+}
+
+// Has reports whether a job is known and not archived.
+func (m *Mirror) Has(uid string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, ok := m.jobs[uid]
+	return ok
+}
+
 // Withdrawn tells which of the jobs are withdrawn, as far as is known, and up to
 // which time every withdrawal is known.
 func (m *Mirror) Withdrawn(uids []string) (withdrawn map[string]bool, fresh time.Time) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -19,6 +19,8 @@
 type PingArgs struct {
 	From string
 	Term uint64
+	// The counts of jobs' tasks that the caller has from the callee already.
+	CountsTerm, CountsRevision uint64
 }
 
 // PingReply tells about the callee.
@@ -27,6 +29,10 @@
 	Leading bool     // leads that term
 	Serving bool     // has read the state service lately
 	Heard   []string // machines whose leases it kept in the last lease
+	// What a leader tells of the counts of jobs' tasks: those that have changed
+	// since the caller's revision, and the revision that they lead to.
+	Counts         []wire.JobView
+	CountsRevision uint64
 }
 
 // CountsArgs asks the leader for a job's counts.
