Periodic work wakes the process together

A node had a timer of its own for the lag, the heartbeat, each peer's ping, the hold, rounds, writer, returns, announcements, images and every answer that waits. They now fall on common moments, a twelfth of a report's interval apart (package tick); a period that an operator sets is kept where it does not fit. With it, too small to be measured alone: counters of requests are found without formatting, bodies are read into a buffer of their length, and idle connections get no keep-alive probes (time limits close them).

--- a/internal/api/admin.go
+++ b/internal/api/admin.go
@@ -36,9 +36,20 @@
 
 func (n *Node) rounded(took time.Duration) { n.rounds.Update(took.Seconds()) }
 
+// requestKind is what answered requests are counted by.
+type requestKind struct {
+	kind   string
+	status int
+}
+
 // count counts an answered request.
 func (n *Node) count(kind string, status int) {
-	n.meters.GetOrCreateCounter(fmt.Sprintf(`lotusstile_requests_total{kind=%q,status="%d"}`, kind, status)).Inc()
+	key := requestKind{kind, status}
+	counter, ok := n.requests.Load(key)
+	if !ok {
+		counter, _ = n.requests.LoadOrStore(key, n.meters.GetOrCreateCounter(fmt.Sprintf(`lotusstile_requests_total{kind=%q,status="%d"}`, kind, status)))
+	}
+	counter.(*metrics.Counter).Inc()
 }
 
 // adminMetrics writes the metrics in the Prometheus text format.
--- a/internal/api/http.go
+++ b/internal/api/http.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"log/slog"
@@ -79,7 +80,8 @@
 	if body, ok := c.Get("body").([]byte); ok {
 		return body, nil
 	}
-	data, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, wire.MaxBody))
+	limited := http.MaxBytesReader(c.Response(), c.Request().Body, wire.MaxBody)
+	data, err := readAll(limited, c.Request().ContentLength)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, echo.NewHTTPError(http.StatusRequestEntityTooLarge, "body is over 64 KiB")
@@ -90,6 +92,17 @@
 	return data, nil
 }
 
+// readAll reads a body whose length is known as a rule: 0 or below if it is not. A
+// body that is not of that length is read all the same.
+func readAll(body io.Reader, length int64) ([]byte, error) {
+	var buffer bytes.Buffer
+	if length > 0 && length <= wire.MaxBody {
+		buffer.Grow(int(length) + bytes.MinRead) // room to see the end without growing again
+	}
+	_, err := buffer.ReadFrom(body)
+	return buffer.Bytes(), err
+}
+
 // retryLater answers a request that cannot be decided now.
 func retryLater(c echo.Context, why string) error { return retryAfter(c, time.Second, why) }
 
--- a/internal/api/load.go
+++ b/internal/api/load.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"sync/atomic"
 	"time"
+
+	"lotusstile.dev/lotusstile/internal/tick"
 )
 
 // load watches how far this node falls behind. Reports of workers are always
@@ -18,14 +20,18 @@
 	behind atomic.Bool
 }
 
+// lagSmoothing is over how many measurements the lag is smoothed.
+const lagSmoothing = 3
+
 // watch measures until ctx ends.
-func (l *load) watch(ctx context.Context, tick time.Duration) {
+func (l *load) watch(ctx context.Context, grid tick.Grid, period time.Duration) {
 	for ctx.Err() == nil {
 		began := time.Now()
-		time.Sleep(tick)
-		late := time.Since(began) - tick
+		wait := grid.Next(began, period)
+		time.Sleep(wait)
+		late := time.Since(began) - wait
 		lag := time.Duration(l.lag.Load())
-		lag += (late - lag) / 4
+		lag += (late - lag) / lagSmoothing
 		l.lag.Store(int64(lag))
 		if was, is := l.behind.Load(), lag > l.limit; was != is {
 			l.behind.Store(is)
--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -40,6 +40,7 @@
 	load      load
 	meters    *metrics.Set
 	rounds    *metrics.Histogram
+	requests  sync.Map // *metrics.Counter by requestKind
 
 	lead     atomic.Pointer[controller.Controller]
 	cat      atomic.Pointer[wire.Catalog]
@@ -97,6 +98,7 @@
 	n.load.limit, n.load.most = cfg.ReportEvery()/2, int64(cfg.Cluster.Limits.MaxConnections/8)
 	n.echo = n.routes()
 	n.elector = election.New(n.store, cfg.Label, cfg.HoldTTL(), n.leadTerm)
+	n.elector.Align(cfg.Grid())
 	n.elector.Prefer(cfg.Handicap(cfg.Label), n.better)
 	return n
 }
@@ -107,7 +109,10 @@
 	if err != nil {
 		return fmt.Errorf("listen on mesh_addr: %w", err)
 	}
-	users, err := net.Listen("tcp", n.cfg.Listen)
+	// Idle connections are closed by time limits: probes on each would only cost
+	// system calls.
+	listen := net.ListenConfig{KeepAlive: -1}
+	users, err := listen.Listen(ctx, "tcp", n.cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -137,7 +142,7 @@
 	go n.elector.Run(ctx)
 	go n.readCatalog(ctx)
 	go n.heartbeat(ctx)
-	go n.load.watch(ctx, n.cfg.ReportEvery()/8)
+	go n.load.watch(ctx, n.cfg.Grid(), n.cfg.HoldTTL()/8)
 	go n.publishKept(ctx)
 	for _, p := range n.peers {
 		go n.ping(ctx, p)
@@ -216,7 +221,7 @@
 			n.counts.update(p.Label, args, r, n.mirror)
 			n.elector.Saw(r.Term, p.Label)
 		}
-		time.Sleep(n.cfg.HoldTTL() / 4)
+		time.Sleep(n.cfg.Grid().Next(time.Now(), n.cfg.HoldTTL()/4))
 	}
 }
 
@@ -278,6 +283,6 @@
 			}
 			cancel()
 		}
-		time.Sleep(every)
+		time.Sleep(n.cfg.Grid().Next(time.Now(), every))
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"lotusstile.dev/lotusstile/internal/tick"
 )
 
 // Member is another controller.
@@ -175,6 +177,13 @@
 // lease, so that a successor has most of a lease left to gather the workers.
 func (c *Config) HoldTTL() time.Duration { return c.Lease() / 5 }
 
+// gridShare of a report's interval is the unit that periodic work is aligned to:
+// halves, thirds and quarters of the interval are multiples of it.
+const gridShare = 12
+
+// Grid is what the process's periodic work is aligned to.
+func (c *Config) Grid() tick.Grid { return tick.Grid{Unit: c.ReportEvery() / gridShare} }
+
 // KnowledgeLimit is how old a node's knowledge of withdrawals may be for it to
 // go on renewing leases. A task that was withdrawn right after the read that the
 // knowledge stems from dies by its lease, which counts from when the worker sent
--- a/internal/controller/announce.go
+++ b/internal/controller/announce.go
@@ -19,7 +19,7 @@
 func (c *Controller) announcing(ctx context.Context) {
 	every := c.Config.ReportEvery()
 	slots := make(chan struct{}, announceSlots)
-	for sleep(ctx, every/2) {
+	for sleep(ctx, c.untilNext(every/2)) {
 		var wg sync.WaitGroup
 		for _, t := range c.toAnnounce() {
 			slots <- struct{}{}
--- a/internal/controller/checkin.go
+++ b/internal/controller/checkin.go
@@ -72,7 +72,7 @@
 	wake := make(chan struct{})
 	c.waitingAnswers[m.ID] = wake
 	c.mu.Unlock()
-	t := time.NewTimer(c.Config.ReportEvery() / 2)
+	t := time.NewTimer(c.Config.Grid().Within(time.Now(), c.Config.ReportEvery()/2))
 	select {
 	case <-wake:
 	case <-t.C:
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -145,6 +145,12 @@
 	wg.Wait()
 }
 
+// untilNext is how long to wait for periodic work, so that works of different
+// periods wake the process together.
+func (c *Controller) untilNext(period time.Duration) time.Duration {
+	return c.Config.Grid().Next(time.Now(), period)
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/controller/images.go
+++ b/internal/controller/images.go
@@ -21,7 +21,7 @@
 // noteImages records which images machines have, so that a new leader knows
 // where starts are quick. It loses nothing but time if it is late or fails.
 func (c *Controller) noteImages(ctx context.Context) {
-	for sleep(ctx, c.Config.ReportEvery()) {
+	for sleep(ctx, c.untilNext(c.Config.ReportEvery())) {
 		c.mu.Lock()
 		now := c.now()
 		tx := wire.Commit{Guards: []wire.Guard{{Key: ledger.LeaderKey, Stamp: c.term}}}
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -100,7 +100,7 @@
 		} else {
 			c.listed(hosts, asked)
 		}
-		if !sleep(ctx, every) {
+		if !sleep(ctx, c.untilNext(every)) {
 			return
 		}
 	}
--- a/internal/controller/returns.go
+++ b/internal/controller/returns.go
@@ -44,7 +44,7 @@
 		case <-ctx.Done():
 			return
 		case <-c.back:
-		case <-time.After(pause):
+		case <-time.After(c.untilNext(pause)):
 		}
 		for c.recordReturns(ctx) {
 		}
--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -18,7 +18,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(interval):
+		case <-time.After(c.untilNext(interval)):
 		case <-c.news:
 			// A job came: it need not wait for the interval to pass, only long
 			// enough for others that come with it.
--- a/internal/controller/writer.go
+++ b/internal/controller/writer.go
@@ -42,7 +42,7 @@
 		case <-ctx.Done():
 			return
 		case <-c.wake:
-		case <-time.After(tick):
+		case <-time.After(c.untilNext(tick)):
 		}
 		for ctx.Err() == nil {
 			b := c.collect()
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -13,6 +13,7 @@
 
 	"lotusstile.dev/lotusstile/internal/ledger"
 	"lotusstile.dev/lotusstile/internal/store"
+	"lotusstile.dev/lotusstile/internal/tick"
 	"lotusstile.dev/lotusstile/wire"
 )
 
@@ -55,6 +56,7 @@
 	label    string
 	ttl      time.Duration
 	handicap int
+	grid     tick.Grid
 	better   func() bool
 	lead     func(ctx context.Context, term uint64)
 
@@ -77,6 +79,9 @@
 // that a node with a lower one is well. It is called before Run.
 func (e *Elector) Prefer(handicap int, better func() bool) { e.handicap, e.better = handicap, better }
 
+// Align lets the renewals of the hold fall on a grid. It is called before Run.
+func (e *Elector) Align(grid tick.Grid) { e.grid = grid }
+
 // set is the one function that changes the state. e.mu is held.
 func (e *Elector) set(to State, why string) {
 	if e.state == to {
@@ -276,7 +281,7 @@
 		select {
 		case <-tctx.Done():
 			continue
-		case <-time.After(e.ttl / 4):
+		case <-time.After(e.grid.Next(time.Now(), e.ttl/4)):
 		}
 		begun := time.Now()
 		rctx, cancel := context.WithTimeout(store.Urgent(tctx), e.ttl/2)
