--- a/internal/controller/announce.go
+++ b/internal/controller/announce.go
@@ -54,7 +54,7 @@
 		if m.State == fleet.Ready && now.Sub(m.Heard) < 2*every {
 			return
 		}
-		if m.State == fleet.Booting && !m.Listed || now.Sub(c.told[m.ID]) < 3*every {
+		if m.State == fleet.Booting && !m.Listed || now.Sub(c.announced[m.ID]) < 3*every {
 			return
 		}
 		shift := m.Shift
@@ -68,7 +68,7 @@
 	// fleet may sit at a deposed leader.
 	ts = ts[:min(len(ts), max(2*announceSlots, len(ts)/4))]
 	for _, t := range ts {
-		c.told[t.host] = now
+		c.announced[t.host] = now
 	}
 	return ts
 }
--- /dev/null
+++ b/internal/controller/events.go
@@ -0,0 +1,155 @@
+package controller
+
+import (
+	"log/slog"
+	"maps"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// jobEvent takes a change of a job's record into the picture.
+func (c *Controller) jobEvent(uid string, e ledger.Entry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.takeJob(uid, e)
+}
+
+func (c *Controller) takeJob(uid string, e ledger.Entry) {
+	now := c.now()
+	j := c.jobs[uid]
+	switch {
+	case e.Job == nil:
+		if j != nil && e.Stamp >= j.stamp {
+			c.dropJob(j, now)
+		}
+	case j == nil:
+		c.jobs[uid] = newJob(uid, e, now)
+		slog.Info("job", "uid", uid, "berth", e.Job.Spec.Berth, "legs", e.Job.Spec.Legs, "gpus", e.Job.Spec.Gpus, "image", e.Job.Spec.Rollout, "status", string(e.Job.Status))
+		c.arrived(c.jobs[uid], now)
+		notify(c.news)
+	case e.Stamp > j.stamp:
+		wasFinal := j.rec.Status.Final()
+		j.rec, j.stamp = e.Job, e.Stamp
+		if !wasFinal && e.Job.Status == wire.JobAborted {
+			slog.Info("job withdrawn", "uid", uid)
+			j.each(func(a *fleet.Attempt) { c.stop(a, 0, now, "withdrawn") })
+			c.wakeWriter()
+		}
+	}
+}
+
+// dropJob forgets a job that is archived.
+func (c *Controller) dropJob(j *job, now time.Time) {
+	delete(c.jobs, j.uid)
+	j.each(func(a *fleet.Attempt) { c.stop(a, 0, now, "job is archived") })
+	for _, p := range j.pieces {
+		for _, a := range p.ended {
+			c.fleet.Record(a, now)
+		}
+		p.ended = nil
+	}
+}
+
+// AttemptChanged keeps the jobs in step with their attempts.
+func (c *Controller) AttemptChanged(a *fleet.Attempt, from fleet.AttemptState, why string) {
+	slog.Info("attempt", "leg", a.Name(), "try", a.Try, "host", a.Machine.ID, "from", from.String(), "to", a.State.String(), "why", why)
+	if a.State == fleet.Committed {
+		c.answerNow(a.Machine)
+	}
+	j := c.jobs[a.UID]
+	if j == nil {
+		if a.State == fleet.Ended {
+			c.fleet.Record(a, c.now()) // its job is archived: nothing to record
+		}
+		return
+	}
+	j.begun = j.begun || a.State == fleet.Running
+	c.countsChanged(j)
+	p := j.piece(a.Leg)
+	if from < fleet.Ended && !a.Live() && p.live[a.Leg] == a {
+		delete(p.live, a.Leg)
+		j.live--
+		j.freed = append(j.freed, a.Leg)
+		if a.Cause != wire.CauseDone {
+			j.lost++
+		}
+		if j.live == 0 {
+			j.waitFrom = c.now()
+		}
+		p.touch(c.now().Add(c.endsWait()))
+	}
+	if a.State == fleet.Ended {
+		c.ended(j, p, a)
+	}
+	if !a.Live() && c.over(j) {
+		c.wakeWriter()
+	}
+}
+
+// endsWait is how long the record of an end may wait for more of its piece.
+// Until then the task is reported as ended, and a new leader would learn of it
+// from there. Each end written at once took more of the state service's budget
+// of changes than all launches.
+func (c *Controller) endsWait() time.Duration { return 2 * c.Config.ReportEvery() }
+
+// ended takes the end of an attempt into its job.
+func (c *Controller) ended(j *job, p *piece, a *fleet.Attempt) {
+	now := c.now()
+	i := a.Leg % j.rec.Per
+	switch a.Cause {
+	case wire.CauseDone:
+		if !p.done.DoneBit(i) {
+			p.done.SetDone(i)
+			j.done++
+		}
+		j.fails = 0
+		clear(a.Machine.Errors)
+	case wire.CauseError:
+		c.blame(j, a.Machine, now)
+	case wire.CauseNoRoom, wire.CauseInUse, wire.CauseNoSuch:
+		j.avoid[a.Machine.ID] = now
+	}
+	if j.rec.Status.Final() {
+		// Nothing of a withdrawn job is ever launched again, so its end need
+		// not be recorded before it is reaped.
+		c.fleet.Record(a, now)
+		return
+	}
+	p.ended = append(p.ended, a)
+}
+
+// blame decides who is at fault for an error. A job that fails on a second
+// machine is taken to be mistaken itself: it backs off and condemns nobody. A
+// machine that fails several jobs is passed over for a while.
+func (c *Controller) blame(j *job, m *fleet.Machine, now time.Time) {
+	lease := c.Config.Lease()
+	maps.DeleteFunc(j.avoid, func(_ string, at time.Time) bool { return now.Sub(at) > 12*lease })
+	j.avoid[m.ID] = now
+	j.fails++
+	others := len(m.Errors)
+	if _, own := m.Errors[j.uid]; own {
+		others--
+	}
+	if len(j.avoid) >= 2 && others == 0 {
+		j.hold = now.Add(min(3*lease, time.Second<<max(0, min(j.fails-2, 10))))
+		slog.Info("job fails on several machines", "uid", j.uid, "fails", j.fails)
+		for id := range j.avoid {
+			if o := c.fleet.Get(id); o != nil && o.Errors[j.uid] != (time.Time{}) {
+				if delete(o.Errors, j.uid); len(o.Errors) == 0 {
+					o.AvoidUntil = time.Time{}
+				}
+			}
+		}
+		return
+	}
+	m.Errors[j.uid] = now
+	rest := lease
+	if len(m.Errors) >= 2 {
+		rest = 6 * lease
+	}
+	m.AvoidUntil = now.Add(rest)
+	slog.Info("machine passed over", "host", m.ID, "jobs", len(m.Errors), "for", rest.String())
+}
--- a/internal/controller/lost.go
+++ b/internal/controller/lost.go
@@ -11,8 +11,8 @@
 	"lotusstile.dev/lotusstile/wire"
 )
 
-// hear notes the machines that other nodes answer: they are not silent.
-func (c *Controller) hear(now time.Time) {
+// noteHeardByPeers notes the machines that other nodes answer: they are not silent.
+func (c *Controller) noteHeardByPeers(now time.Time) {
 	for _, id := range c.Heard() {
 		if m := c.fleet.Get(id); m != nil {
 			m.Heard = now
@@ -20,10 +20,10 @@
 	}
 }
 
-// hearKept listens to followers that are cut off from this node, but not from
+// followKeptLeases listens to followers that are cut off from this node, but not from
 // the state service: the machines that they answer are alive. Without this,
 // every machine behind a cut between zones was returned with all it served.
-func (c *Controller) hearKept(ctx context.Context) {
+func (c *Controller) followKeptLeases(ctx context.Context) {
 	hold, pause := c.Config.Lease(), c.Config.ReportEvery()
 	ledger.Follow(ctx, c.Store, ledger.KeptPrefix, hold, pause, ledger.Funcs{Changed: func(n wire.News) {
 		var kept ledger.Kept
@@ -45,39 +45,39 @@
 	}})
 }
 
-// excuse gives every machine the time again that it has to report: a leader
+// resetLiveness gives every machine the time again that it has to report: a leader
 // that stood still does not know who reported meanwhile.
-func (c *Controller) excuse(now time.Time) {
+func (c *Controller) resetLiveness(now time.Time) {
 	c.steady = now
 	c.fleet.Each(func(m *fleet.Machine) { m.Heard, m.Reported = now, now })
 }
 
-// lookAway judges no silence while this node answers no reports, since what it
+// pauseLiveness judges no silence while this node answers no reports, since what it
 // knows of withdrawals is too old: it then hears nobody, and when it answers
 // again the workers come back one after the other. After an outage of a minute a
 // leader had given up 550 of 700 machines.
-func (c *Controller) lookAway(now time.Time) {
-	away := now.Sub(c.Mirror.Fresh()) > c.Config.KnowledgeLimit()
-	if away != c.away {
-		slog.Warn("reports are not answered on old knowledge", "term", c.term, "away", away)
+func (c *Controller) pauseLiveness(now time.Time) {
+	paused := now.Sub(c.Mirror.Fresh()) > c.Config.KnowledgeLimit()
+	if paused != c.answersPaused {
+		slog.Warn("reports are not answered on old knowledge", "term", c.term, "paused", paused)
 	}
-	if c.away = away; away {
-		c.excuse(now)
+	if c.answersPaused = paused; paused {
+		c.resetLiveness(now)
 	}
 }
 
 // silence is how many machines of a zone are silent.
 type silence struct {
-	total  int
-	quiet  int // for over three intervals of reports
-	hushed int // for over two
+	total      int
+	longSilent int // for over three intervals of reports
+	silent     int // for over two
 }
 
-// relayed reports whether so many machines report by way of other nodes that
+// manyRelayed reports whether so many machines report by way of other nodes that
 // this node's own links to the workers may have failed. Those that did not find
 // another node yet are then not lost: each that they try in vain costs them
 // several intervals.
-func (c *Controller) relayed(now time.Time) bool {
+func (c *Controller) manyRelayed(now time.Time) bool {
 	n, total := 0, 0
 	c.fleet.Each(func(m *fleet.Machine) {
 		if m.State != fleet.Gone {
@@ -107,10 +107,10 @@
 			z := zones[yard]
 			z.total++
 			if silent > 3*every {
-				z.quiet++
+				z.longSilent++
 			}
 			if silent > 2*every {
-				z.hushed++
+				z.silent++
 			}
 			zones[yard] = z
 		}
@@ -122,15 +122,15 @@
 // has it: it waits 4 s for the answer and tries the next node 1 s later.
 const workerTry = 5 * time.Second
 
-// condemn decides which machines to return because they are lost.
-func (c *Controller) condemn(now time.Time) {
+// declareLost decides which machines to return because they are lost.
+func (c *Controller) declareLost(now time.Time) {
 	every, lease := c.Config.ReportEvery(), c.Config.Lease()
 	zones, reached := c.silences(now), c.Reached()
 	// Most machines of a zone that fall silent together are cut off rather than
 	// lost, if no controller there is reached either: what they run may go on,
 	// and they will be back. Where a controller is reached, they are lost.
 	for yard, z := range zones {
-		if yard != "" && z.quiet > 2 && 2*z.quiet > z.total && !slices.Contains(reached, yard) {
+		if yard != "" && z.longSilent > 2 && 2*z.longSilent > z.total && !slices.Contains(reached, yard) {
 			c.cutOff[yard] = now
 		}
 	}
@@ -149,7 +149,7 @@
 	// How long a worker may look for a node: it learns with its next report that
 	// one is gone, and each that does not answer costs it one try.
 	search := every*5/4 + time.Duration(max(1, len(c.Config.Members)+1-len(reached)))*workerTry
-	if c.relayed(now) {
+	if c.manyRelayed(now) {
 		// It may be this node's own links: a leader that had lost the workers
 		// returned 150 of 330 on their way to its peers, and 80 still when it
 		// gave up no more than an eighth, but after three intervals.
@@ -157,7 +157,7 @@
 	}
 	lost := func(m *fleet.Machine) bool {
 		z := zones[m.Yard]
-		return !cutOff(m) && z.hushed <= max(1, z.total/part)
+		return !cutOff(m) && z.silent <= max(1, z.total/part)
 	}
 	// Behind a cut, a node without the state service stops renewing leases in
 	// time for withdrawn tasks to die: after this, nothing there runs on.
@@ -167,9 +167,9 @@
 		switch {
 		case m.State == fleet.Returning || m.State == fleet.Gone:
 		case m.Failed:
-			c.giveUp(m, now, "failed")
+			c.startReturn(m, now, "failed")
 		case m.State == fleet.Silent && (!cutOff(m) || now.Sub(m.Heard) > over):
-			c.giveUp(m, now, "silent")
+			c.startReturn(m, now, "silent")
 		case lost(m) && (m.State == fleet.Ready && now.Sub(c.steady) > lease && now.Sub(m.Heard) > patience ||
 			m.State == fleet.Booting && m.LiveCount() > 0 && now.Sub(m.Heard) > search):
 			// Some machines fall silent while the others go on: they have
@@ -177,17 +177,17 @@
 			// their leases have ended. Waiting would only cost time. Those that
 			// a new leader has not heard yet may still be looking for it, and
 			// get a little longer.
-			c.giveUp(m, now, "silent while others report")
+			c.startReturn(m, now, "silent while others report")
 		case m.State == fleet.Booting && m.LiveCount() == 0:
 			boot := 60.0
 			if r := c.rig(m.Rig); r != nil {
 				boot = r.BootS
 			}
 			if now.Sub(m.Born).Seconds() > 3.5*boot && settled {
-				c.giveUp(m, now, "never came up")
+				c.startReturn(m, now, "never came up")
 			}
 		case m.Warned && m.LiveCount() == 0 && m.State == fleet.Ready:
-			c.giveUp(m, now, "is being taken back")
+			c.startReturn(m, now, "is being taken back")
 		}
 		if m.Warned {
 			m.Each(func(a *fleet.Attempt) {
--- a/internal/controller/machines_test.go
+++ b/internal/controller/machines_test.go
@@ -78,7 +78,7 @@
 				}
 			}
 			c.fleet.Silence(now)
-			c.condemn(now)
+			c.declareLost(now)
 			now = now.Add(step)
 		}
 		var lost []string
@@ -192,7 +192,7 @@
 			c.hearFrom(i, tick, now)
 		}
 		c.fleet.Silence(now)
-		c.condemn(now)
+		c.declareLost(now)
 		now = now.Add(time.Second)
 	}
 	lost := 0
--- a/internal/controller/picture.go
+++ b/internal/controller/picture.go
@@ -131,9 +131,9 @@
 func (c *Controller) addNode(p *picture, m *fleet.Machine, top int, now time.Time) {
 	n := sched.Node{ID: m.ID, Rig: m.Rig, Yard: m.Yard, Standby: m.Standby, Cap: m.Cap, Price: c.price(m.Rig, m.Standby)}
 	switch {
-	case m.Takes(now) && m.Strays() == 0:
+	case m.Takes(now) && m.Orphans() == 0:
 		n.Free, n.Soon, n.Cache = m.Free(), m.Free(), m
-		n.Leaving = !m.Standby && !c.kept[m.ID]
+		n.Leaving = !m.Standby && !c.spareMachines[m.ID]
 		m.Each(func(a *fleet.Attempt) {
 			j := c.jobs[a.UID]
 			if !a.Live() {
@@ -291,7 +291,7 @@
 	}
 	switch m.State {
 	case fleet.Confirming:
-		return !now.Before(m.SickTill)
+		return !now.Before(m.AvoidUntil)
 	case fleet.Booting:
 		r := c.rig(m.Rig)
 		return r != nil && now.Sub(m.Born).Seconds() < 1.7*r.BootS+2*c.Config.Cluster.Workers.ReportS
--- a/internal/controller/returns.go
+++ b/internal/controller/returns.go
@@ -14,8 +14,8 @@
 	"lotusstile.dev/lotusstile/wire"
 )
 
-// giveBack is a machine that is being returned.
-type giveBack struct {
+// pendingReturn is a machine that is being returned.
+type pendingReturn struct {
 	recorded bool      // in a returns' record
 	goneAt   time.Time // when the cloud confirmed, or last listed it after that
 }
@@ -26,12 +26,12 @@
 	hosts []string
 }
 
-// giveUp starts the return of a machine.
-func (c *Controller) giveUp(m *fleet.Machine, now time.Time, why string) {
+// startReturn starts the return of a machine.
+func (c *Controller) startReturn(m *fleet.Machine, now time.Time, why string) {
 	c.fleet.Return(m, now, why)
 	if c.returns[m.ID] == nil {
-		c.returns[m.ID] = &giveBack{}
-		notify(c.back)
+		c.returns[m.ID] = &pendingReturn{}
+		notify(c.returnsWake)
 	}
 }
 
@@ -43,7 +43,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-c.back:
+		case <-c.returnsWake:
 		case <-time.After(c.untilNext(pause)):
 		}
 		for c.recordReturns(ctx) {
--- a/internal/controller/returns_test.go
+++ b/internal/controller/returns_test.go
@@ -47,7 +47,7 @@
 	for i := range n {
 		c.hearFrom(i, 1, now)
 	}
-	c.fleet.Each(func(m *fleet.Machine) { c.giveUp(m, now, "test") })
+	c.fleet.Each(func(m *fleet.Machine) { c.startReturn(m, now, "test") })
 	return c, st, cl
 }
 
--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -39,12 +39,12 @@
 	now := c.now()
 	if !c.lastAt.IsZero() && now.Sub(c.lastAt) > max(interval, c.Config.ReportEvery())*2 {
 		slog.Warn("stood still", "term", c.term, "for", now.Sub(c.lastAt).String())
-		c.excuse(now)
+		c.resetLiveness(now)
 	}
-	c.lookAway(now)
-	c.hear(now)
+	c.pauseLiveness(now)
+	c.noteHeardByPeers(now)
 	c.fleet.Silence(now)
-	c.condemn(now)
+	c.declareLost(now)
 	if c.cat == nil {
 		return nil
 	}
@@ -136,7 +136,7 @@
 		}
 	}
 	if started > 0 {
-		c.poke()
+		c.wakeWriter()
 	}
 	return started
 }
--- a/internal/controller/spare.go
+++ b/internal/controller/spare.go
@@ -76,7 +76,7 @@
 		spareIn.Teams[name] = &sched.Team{}
 	}
 	kept := map[string]bool{}
-	c.kept = kept
+	c.spareMachines = kept
 	for i, n := range p.in.Nodes {
 		n.Free, n.Soon, n.Later = plan.LeftSoon[i], plan.LeftSoon[i], plan.LeftLater[i]
 		spareIn.Nodes = append(spareIn.Nodes, n)
@@ -144,6 +144,6 @@
 		return cmp.Or(cmp.Compare(c.price(b.Rig, b.Standby), c.price(a.Rig, a.Standby)), cmp.Compare(b.ID, a.ID))
 	})
 	for _, m := range idle[:(len(idle)+3)/4] {
-		c.giveUp(m, now, "idle")
+		c.startReturn(m, now, "idle")
 	}
 }
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -135,7 +135,7 @@
 	}
 }
 
-func (e *Elector) poke() {
+func (e *Elector) notifyChanged() {
 	select {
 	case e.changed <- struct{}{}:
 	default:
@@ -155,7 +155,7 @@
 		e.view.Leader = ""
 	}
 	e.mu.Unlock()
-	e.poke()
+	e.notifyChanged()
 }
 
 // Apply takes changes of the keys of the election.
@@ -169,7 +169,7 @@
 		}
 	}
 	e.mu.Unlock()
-	e.poke()
+	e.notifyChanged()
 }
 
 // learn takes a key of the election into the view. e.mu is held.
@@ -215,7 +215,7 @@
 		} else {
 			e.move(Following, "not elected")
 			time.Sleep(time.Duration(rand.Int64N(int64(e.ttl / 8))))
-			e.poke()
+			e.notifyChanged()
 		}
 	}
 }
@@ -313,5 +313,5 @@
 	e.set(Following, "term ended")
 	e.mu.Unlock()
 	<-done
-	e.poke()
+	e.notifyChanged()
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -108,8 +108,8 @@
 // Live reports whether the attempt may be on its machine, now or later.
 func (a *Attempt) Live() bool { return a.State < Ended }
 
-// stray is a task that a machine reports and no record knows.
-type stray struct {
+// orphan is a task that a machine reports and no record knows.
+type orphan struct {
 	leg   string
 	try   uint64
 	ended bool
@@ -117,33 +117,33 @@
 
 // Machine is one machine.
 type Machine struct {
-	ID       string
-	Address  string
-	Rig      string
-	Yard     string
-	Standby  bool
-	State    MachineState
-	Cap      Res
-	Shift    uint64
-	Tick     uint64
-	Heard    time.Time // last report, here or at another node
-	Reported time.Time // last report here
-	Relayed  time.Time // last report that another node relayed here
-	Since    time.Time // of the last change of state
-	Born     time.Time // when it was first known
-	Listed   bool
-	Failed   bool // the cloud lists it as failed
-	Warned   bool // spot notice
-	Draining bool // takes no more launches; returned when empty
-	IdleAt   time.Time
-	SickTill time.Time            // takes no launches until then
-	Deaf     int                  // launches in a row that it did not take
-	Errors   map[string]time.Time // jobs that failed here since the last success
-	Images   map[string]time.Time // images seen on it, by last use
+	ID             string
+	Address        string
+	Rig            string
+	Yard           string
+	Standby        bool
+	State          MachineState
+	Cap            Res
+	Shift          uint64
+	Tick           uint64
+	Heard          time.Time // last report, here or at another node
+	Reported       time.Time // last report here
+	Relayed        time.Time // last report that another node relayed here
+	Since          time.Time // of the last change of state
+	Born           time.Time // when it was first known
+	Listed         bool
+	Failed         bool // the cloud lists it as failed
+	Warned         bool // spot notice
+	Draining       bool // takes no more launches; returned when empty
+	IdleAt         time.Time
+	AvoidUntil     time.Time            // takes no launches until then
+	MissedLaunches int                  // launches in a row that it did not take
+	Errors         map[string]time.Time // jobs that failed here since the last success
+	Images         map[string]time.Time // images seen on it, by last use
 
 	answered time.Time // last report here, whatever time was given again since
 	attempts map[attemptKey]*Attempt
-	strays   []stray
+	orphans  []orphan
 	used     Res
 	live     int
 }
@@ -164,10 +164,10 @@
 	return false
 }
 
-// Strays is how many running tasks it reports that no record knows.
-func (m *Machine) Strays() int {
+// Orphans is how many running tasks it reports that no record knows.
+func (m *Machine) Orphans() int {
 	n := 0
-	for _, s := range m.strays {
+	for _, s := range m.orphans {
 		if !s.ended {
 			n++
 		}
@@ -208,7 +208,7 @@
 
 // Takes reports whether new attempts may be placed on it.
 func (m *Machine) Takes(now time.Time) bool {
-	return m.State == Ready && !m.Draining && !m.Warned && !m.Failed && m.Cap.Cores > 0 && !now.Before(m.SickTill)
+	return m.State == Ready && !m.Draining && !m.Warned && !m.Failed && m.Cap.Cores > 0 && !now.Before(m.AvoidUntil)
 }
 
 // Watcher is told of every change of state.
@@ -225,9 +225,9 @@
 	machines map[string]*Machine
 }
 
-// deafLimit is how many launches in a row a machine may fail to take before it
+// missedLaunchLimit is how many launches in a row a machine may fail to take before it
 // is passed over: its reports arrive, but answers do not reach it.
-const deafLimit = 3
+const missedLaunchLimit = 3
 
 // New makes an empty picture for a term.
 func New(term uint64, lease time.Duration, w Watcher) *Fleet {
@@ -274,8 +274,8 @@
 	}
 }
 
-// set is the one function that changes the state of a machine.
-func (f *Fleet) set(m *Machine, to MachineState, now time.Time, why string) {
+// setMachine is the one function that changes the state of a machine.
+func (f *Fleet) setMachine(m *Machine, to MachineState, now time.Time, why string) {
 	if m.State == to || m.State == Gone || (m.State == Returning && to != Gone) {
 		return // a machine whose return was attempted is never used again
 	}
@@ -284,8 +284,8 @@
 	f.watcher.MachineChanged(m, from, why)
 }
 
-// shift is the one function that changes the state of an attempt.
-func (f *Fleet) shift(a *Attempt, to AttemptState, now time.Time, why string) {
+// setAttempt is the one function that changes the state of an attempt.
+func (f *Fleet) setAttempt(a *Attempt, to AttemptState, now time.Time, why string) {
 	if a.State == to || a.State == Off {
 		return
 	}
@@ -323,14 +323,14 @@
 // Commit notes that the record of a planned attempt is committed.
 func (f *Fleet) Commit(a *Attempt, now time.Time) {
 	if a.State == Planned {
-		f.shift(a, Committed, now, "recorded")
+		f.setAttempt(a, Committed, now, "recorded")
 	}
 }
 
 // Record notes that the end of an attempt is recorded: it may be reaped.
 func (f *Fleet) Record(a *Attempt, now time.Time) {
 	if a.State == Ended {
-		f.shift(a, Recorded, now, "end recorded")
+		f.setAttempt(a, Recorded, now, "end recorded")
 	}
 }
 
@@ -341,7 +341,7 @@
 		return
 	}
 	if !a.Inherited && (a.State == Planned || a.State == Committed) {
-		f.shift(a, Off, now, why)
+		f.setAttempt(a, Off, now, why)
 		return
 	}
 	if !a.Stopping || leewayS < a.LeewayS {
@@ -350,14 +350,14 @@
 }
 
 // Return notes that a return is about to be attempted.
-func (f *Fleet) Return(m *Machine, now time.Time, why string) { f.set(m, Returning, now, why) }
+func (f *Fleet) Return(m *Machine, now time.Time, why string) { f.setMachine(m, Returning, now, why) }
 
 // Confirm notes that the cloud answered 200 to returning the machine: it and
 // all on it are gone.
 func (f *Fleet) Confirm(m *Machine, now time.Time, why string) {
-	f.set(m, Gone, now, why)
+	f.setMachine(m, Gone, now, why)
 	for _, a := range m.attempts {
-		f.shift(a, Off, now, "machine gone")
+		f.setAttempt(a, Off, now, "machine gone")
 	}
 }
 
@@ -367,7 +367,7 @@
 func (f *Fleet) Silence(now time.Time) {
 	for _, m := range f.machines {
 		if (m.State == Ready || m.State == Confirming || m.State == Booting && m.live > 0) && now.Sub(m.Heard) > f.lease {
-			f.set(m, Silent, now, "not heard")
+			f.setMachine(m, Silent, now, "not heard")
 		}
 	}
 }
@@ -394,23 +394,23 @@
 		// an earlier session may meet a leader that has just begun. And what counts
 		// is when a report was last taken here, not the time that machines were
 		// given again after an outage: their leases ended for want of an answer.
-		m.SickTill = now.Add(2 * f.lease)
+		m.AvoidUntil = now.Add(2 * f.lease)
 	}
 	reported := make(map[attemptKey]*wire.LegReport, len(r.Legs))
-	m.strays = m.strays[:0]
+	m.orphans = m.orphans[:0]
 	for i := range r.Legs {
 		l := &r.Legs[i]
 		k := attemptKey{l.Leg, l.Try}
 		reported[k] = l
 		if m.attempts[k] == nil {
-			m.strays = append(m.strays, stray{l.Leg, l.Try, l.Status == wire.LegEnded})
+			m.orphans = append(m.orphans, orphan{l.Leg, l.Try, l.Status == wire.LegEnded})
 		}
 	}
 	for k, a := range m.attempts {
 		// The worker killed and forgot everything of earlier sessions, and
 		// drops every answer to a report of an earlier session.
 		if a.Shift < r.Shift {
-			f.shift(a, Off, now, "machine has a new session")
+			f.setAttempt(a, Off, now, "machine has a new session")
 			continue
 		}
 		if l := reported[k]; l != nil {
@@ -422,33 +422,33 @@
 			// An earlier term's launch can only have travelled in an answer
 			// to a report that the worker sent before it saw this term's token.
 			if a.Inherited && confirmed {
-				f.shift(a, Off, now, "not on its machine")
+				f.setAttempt(a, Off, now, "not on its machine")
 			}
 		case Sent:
 			// The worker has one report in flight: since it sent this one, it
 			// drops the answer that carried the launch.
 			if r.Tick > a.SentTick {
-				if m.Deaf++; m.Deaf >= deafLimit {
-					m.SickTill = now.Add(2 * f.lease)
+				if m.MissedLaunches++; m.MissedLaunches >= missedLaunchLimit {
+					m.AvoidUntil = now.Add(2 * f.lease)
 				}
-				if a.Stopping || m.Deaf >= deafLimit {
-					f.shift(a, Off, now, "launch was not taken")
+				if a.Stopping || m.MissedLaunches >= missedLaunchLimit {
+					f.setAttempt(a, Off, now, "launch was not taken")
 				} else {
-					f.shift(a, Committed, now, "launch was not taken")
+					f.setAttempt(a, Committed, now, "launch was not taken")
 				}
 			}
 		case Fetching, Running, Saving, Ended:
 			if confirmed {
-				f.shift(a, Off, now, "no longer reported")
+				f.setAttempt(a, Off, now, "no longer reported")
 			}
 		case Recorded:
-			f.shift(a, Off, now, "reaped")
+			f.setAttempt(a, Off, now, "reaped")
 		}
 	}
 	if confirmed {
-		f.set(m, Ready, now, "reports with this term's token")
+		f.setMachine(m, Ready, now, "reports with this term's token")
 	} else if m.State != Ready || newSession {
-		f.set(m, Confirming, now, "reports with an older token")
+		f.setMachine(m, Confirming, now, "reports with an older token")
 	}
 	return m, true
 }
@@ -456,7 +456,7 @@
 // observe takes the reported state of an attempt.
 func (f *Fleet) observe(a *Attempt, l *wire.LegReport, now time.Time) {
 	if a.State == Sent {
-		a.Machine.Deaf = 0
+		a.Machine.MissedLaunches = 0
 	}
 	switch a.State {
 	case Ended, Recorded, Off:
@@ -464,7 +464,7 @@
 	}
 	switch l.Status {
 	case wire.LegFetching, wire.LegWaiting:
-		f.shift(a, Fetching, now, "reported")
+		f.setAttempt(a, Fetching, now, "reported")
 	case wire.LegRunning:
 		if a.RunAt.IsZero() {
 			a.RunAt = now
@@ -472,12 +472,12 @@
 		if a.Image != "" {
 			a.Machine.Images[a.Image] = now
 		}
-		f.shift(a, Running, now, "reported")
+		f.setAttempt(a, Running, now, "reported")
 	case wire.LegSaving:
-		f.shift(a, Saving, now, "reported")
+		f.setAttempt(a, Saving, now, "reported")
 	case wire.LegEnded:
 		a.Cause, a.Kept = l.Cause, l.Kept
-		f.shift(a, Ended, now, string(l.Cause))
+		f.setAttempt(a, Ended, now, string(l.Cause))
 	}
 }
 
@@ -485,7 +485,7 @@
 // that is ready, and only for attempts that are committed.
 func (f *Fleet) Orders(m *Machine, now time.Time, launches bool) []wire.Order {
 	orders := []wire.Order{}
-	for _, s := range m.strays {
+	for _, s := range m.orphans {
 		if s.ended {
 			orders = append(orders, wire.Order{Verb: wire.Reap, Leg: s.leg, Try: s.try})
 		} else {
@@ -512,7 +512,7 @@
 	for _, a := range m.attempts {
 		if a.State == Committed && !a.Inherited && !a.Stopping && a.Shift == m.Shift {
 			a.SentTick = m.Tick
-			f.shift(a, Sent, now, "launch given")
+			f.setAttempt(a, Sent, now, "launch given")
 			orders = append(orders, wire.Order{Verb: wire.Launch, Leg: a.Name(), Try: a.Try})
 		}
 	}
--- /dev/null
+++ b/internal/ledger/bench_test.go
@@ -0,0 +1,51 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lotusstile.dev/lotusstile/wire"
+)
+
+func benchRecord(i int) wire.Item {
+	uid := fmt.Sprintf("run-%06d", i)
+	job := Job{Spec: wire.Work{UID: uid, Berth: "serve", Crew: "team", Shape: wire.Standing, Rank: wire.High, Legs: 8, Cores: 8, Gpus: 1, RAMGb: 40,
+		Rollout: "img-1", ImageGb: 20}, Status: wire.JobQueued, AtMs: 1_800_000_000_000, Per: 80}
+	return wire.Item{Key: JobKey(uid), Value: Encode(job), Stamp: uint64(i + 1)}
+}
+
+// One job's record changes.
+func BenchmarkApplyChange(b *testing.B) {
+	m, row := NewMirror(), benchRecord(1)
+	m.Reset([]wire.Item{row}, 1, time.Now())
+	b.ReportAllocs()
+	for i := range b.N {
+		epoch := uint64(i + 2)
+		m.Apply(wire.Changes{Epoch: epoch, News: []wire.News{{Set: row.Key, Value: row.Value, Stamp: epoch}}}, epoch-1, time.Now())
+	}
+}
+
+// A node starts and lists 500 jobs.
+func BenchmarkListing(b *testing.B) {
+	rows := make([]wire.Item, 500)
+	for i := range rows {
+		rows[i] = benchRecord(i)
+	}
+	b.ReportAllocs()
+	for range b.N {
+		NewMirror().Reset(rows, 500, time.Now())
+	}
+}
+
+// The record of a placement of eight tasks is encoded.
+func BenchmarkEncodePiece(b *testing.B) {
+	piece := Piece{Next: 2, Done: []byte{0}}
+	for leg := range 8 {
+		piece.Live = append(piece.Live, Placed{Leg: leg, Try: 1, Host: "m-000001", Shift: 1})
+	}
+	b.ReportAllocs()
+	for range b.N {
+		Encode(piece)
+	}
+}
