A round prepares its lists at once

Cause: in a round with nothing to do, a fifth of the time went into growing the lists of machines, and a copy of the description was made for every phantom task of the spare room. The decisions are the same.

--- a/internal/controller/picture.go
+++ b/internal/controller/picture.go
@@ -47,6 +47,11 @@
 			p.in.Jobs = append(p.in.Jobs, sj)
 		}
 	}
+	size := c.fleet.Size()
+	for _, r := range c.pending {
+		size += r.req.HowMany
+	}
+	p.in.Nodes, p.machines = make([]sched.Node, 0, size), make([]*fleet.Machine, 0, size)
 	c.fleet.Each(func(m *fleet.Machine) { c.addNode(p, m, top, now) })
 	for _, r := range c.pending {
 		room := provision.Cap(c.rig(r.req.Rig))
--- a/internal/controller/spare.go
+++ b/internal/controller/spare.go
@@ -59,10 +59,11 @@
 		a.fade(now, c.fadeS())
 		perS := a.count / c.fadeS()
 		n := int(math.Ceil(factor * float64(provision.Spare(perS, a.legs2, c.bootS(a.spec)))))
+		spec := *a.spec // of all phantoms of the class
+		spec.UID, spec.Legs, spec.Shape, spec.Together, spec.Scatter = "", 1, wire.Sweep, false, false
+		fetch := c.slackS(a.spec) < 0
 		for i := range n {
-			spec := *a.spec
-			spec.UID, spec.Legs, spec.Shape, spec.Together, spec.Scatter = "", 1, wire.Sweep, false, false
-			jobs = append(jobs, &sched.Job{Spec: &spec, Level: a.level, AtMs: int64(i), Waiting: 1, ByYard: map[string]int{}, Fetch: c.slackS(a.spec) < 0})
+			jobs = append(jobs, &sched.Job{Spec: &spec, Level: a.level, AtMs: int64(i), Waiting: 1, ByYard: map[string]int{}, Fetch: fetch})
 		}
 	}
 	return jobs
@@ -77,6 +78,7 @@
 	}
 	kept := map[string]bool{}
 	c.spareMachines = kept
+	spareIn.Nodes = make([]sched.Node, 0, len(p.in.Nodes))
 	for i, n := range p.in.Nodes {
 		n.Free, n.Soon, n.Later = plan.LeftSoon[i], plan.LeftSoon[i], plan.LeftLater[i]
 		spareIn.Nodes = append(spareIn.Nodes, n)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -248,6 +248,9 @@
 	return n
 }
 
+// Size is the number of machines, gone ones included.
+func (f *Fleet) Size() int { return len(f.machines) }
+
 // Each calls fn for every machine, gone ones included.
 func (f *Fleet) Each(fn func(*Machine)) {
 	for _, m := range f.machines {
