--- a/internal/controller/checkin.go
+++ b/internal/controller/checkin.go
@@ -18,8 +18,8 @@
 }
 
 // CheckIn answers a worker's report. ok is false if the report shows that this
-// term is over. Where commands are likely to come up, an answer that has none waits
-// for them a part of a report's interval: they then travel at once instead of with
+// term is over. An answer to a ready machine that has no commands waits for some a
+// part of a report's interval: launches and stops then travel at once instead of with
 // the next report.
 func (c *Controller) CheckIn(ctx context.Context, r *wire.Report, opts CheckInOptions) (o wire.Orders, ok bool) {
 	if r.Baton > c.term {
@@ -43,7 +43,7 @@
 		m.Relayed = now
 	}
 	o.Orders = c.fleet.Orders(m, now, c.mayLaunch())
-	if len(o.Orders) > 0 || !opts.MayWait || !c.expectsCommands(m, now) {
+	if len(o.Orders) > 0 || !opts.MayWait || m.State != fleet.Ready {
 		return o, true
 	}
 	c.waitForCommands(ctx, m)
@@ -55,19 +55,10 @@
 	return o, true
 }
 
-// expectsCommands reports whether a launch is likely to come up for a machine
-// soon: one is being recorded, or there is room for a task. Answers to all other
-// machines go out at once. Each that waits costs a timer, two wake-ups and a system
-// call more; when all waited, that was an eighth of a leader's processor time.
-func (c *Controller) expectsCommands(m *fleet.Machine, now time.Time) bool {
-	if m.State != fleet.Ready {
-		return false
-	}
-	return m.Launching() || m.Takes(now) && m.Free().Holds(c.leastNeed)
-}
-
 // waitForCommands waits until a command comes up for a machine, half of a report's
-// interval passes or ctx ends. It gives c.mu up meanwhile.
+// interval passes or ctx ends. It gives c.mu up meanwhile. The waits of many machines
+// end together, on the grid of periodic work: each with a wake-up of its own, they
+// took an eighth of a leader's processor time.
 func (c *Controller) waitForCommands(ctx context.Context, m *fleet.Machine) {
 	wake := make(chan struct{})
 	c.waitingAnswers[m.ID] = wake
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -82,7 +82,6 @@
 	arrive         map[string]*arrivals
 	announced      map[string]time.Time     // when the token was last announced, by machine
 	waitingAnswers map[string]chan struct{} // check-ins that wait for commands, by machine
-	leastNeed      fleet.Res                // what the smallest task that is likely to come takes
 	cutOff         map[string]time.Time     // by zone: when most of it was last silent
 	noted          map[string]imageNote     // which images of a machine are recorded
 	spareMachines  map[string]bool          // machines kept as spare room by the last round
--- a/internal/controller/picture.go
+++ b/internal/controller/picture.go
@@ -27,7 +27,6 @@
 		p.in.Teams[t.Name] = team
 	}
 	top := 0
-	c.leastNeed = c.smallestNeed()
 	for _, j := range c.jobs {
 		if t := p.in.Teams[j.rec.Spec.Crew]; t != nil {
 			t.Used.Cores += float64(j.live) * j.need.Cores
@@ -64,20 +63,6 @@
 	return p
 }
 
-// smallestNeed is what a task takes at least, by each kind of resource, of the
-// classes that have been seen.
-func (c *Controller) smallestNeed() fleet.Res {
-	least := fleet.Res{Cores: math.Inf(1), Gpus: math.Inf(1), RAM: math.Inf(1)}
-	for _, a := range c.arrive {
-		need := fleet.Need(a.spec)
-		least = fleet.Res{Cores: min(least.Cores, need.Cores), Gpus: min(least.Gpus, need.Gpus), RAM: min(least.RAM, need.RAM)}
-	}
-	if len(c.arrive) == 0 {
-		return fleet.Res{}
-	}
-	return least
-}
-
 // waitingJob is a job as a round sees it, or nil if nothing of it can be placed
 // now.
 func (c *Controller) waitingJob(j *job, now time.Time) *sched.Job {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -154,16 +154,6 @@
 // LiveCount is how many attempts may be on it.
 func (m *Machine) LiveCount() int { return m.live }
 
-// Launching reports whether a launch for it is decided and not given yet.
-func (m *Machine) Launching() bool {
-	for _, a := range m.attempts {
-		if !a.Inherited && (a.State == Planned || a.State == Committed) {
-			return true
-		}
-	}
-	return false
-}
-
 // Orphans is how many running tasks it reports that no record knows.
 func (m *Machine) Orphans() int {
 	n := 0
