--- a/cmd/fleetsim/main.go
+++ b/cmd/fleetsim/main.go
@@ -133,7 +133,7 @@
 }
 
 var catalog = wire.Catalog{Rigs: []wire.Rig{
-	{Sku: "g8", Cores: 96, Gpus: 8, RamGb: 576, LocalGb: 400, PullGbPerS: 2, Hourly: 24, LowPrice: 6, BootS: 15, Yards: []string{"a", "b"}},
+	{Sku: "g8", Cores: 96, Gpus: 8, RAMGb: 576, LocalGb: 400, PullGbPerS: 2, Hourly: 24, LowPrice: 6, BootS: 15, Yards: []string{"a", "b"}},
 }}
 
 // load submits jobs until the time is over.
@@ -141,8 +141,8 @@
 	rng := rand.New(rand.NewPCG(c.Seed, 1))
 	deadline := time.Now().Add(c.For)
 	user := func(i int, batch bool) {
-		spec := wire.Work{Uid: fmt.Sprintf("run-%06d", i), Berth: "serve", Crew: "team", Shape: wire.Standing, Rank: wire.High,
-			Legs: 1 << rng.IntN(4), Cores: 8, Gpus: 1, RamGb: 40, Rollout: fmt.Sprintf("img-%d", rng.IntN(8)), ImageGb: 8}
+		spec := wire.Work{UID: fmt.Sprintf("run-%06d", i), Berth: "serve", Crew: "team", Shape: wire.Standing, Rank: wire.High,
+			Legs: 1 << rng.IntN(4), Cores: 8, Gpus: 1, RAMGb: 40, Rollout: fmt.Sprintf("img-%d", rng.IntN(8)), ImageGb: 8}
 		stay := time.Duration(rng.ExpFloat64() * float64(c.Stay))
 		if batch {
 			spec.Berth, spec.Shape, spec.Rank, spec.Standby = "batch", wire.Sweep, wire.BestEffort, true
--- a/internal/api/counts.go
+++ b/internal/api/counts.go
@@ -50,7 +50,7 @@
 		return // what came between is not known here, or it is older than what is
 	}
 	for _, view := range r.Counts {
-		t.jobs[view.Uid] = view
+		t.jobs[view.UID] = view
 	}
 	t.revision = r.CountsRevision
 	const few = 64
--- a/internal/api/http.go
+++ b/internal/api/http.go
@@ -49,6 +49,7 @@
 	e.GET("/ready", n.ready)
 	e.GET("/admin/status", n.adminStatus)
 	e.GET("/admin/metrics", n.adminMetrics)
+	e.GET("/admin/pprof/:name", n.adminProfile)
 	e.GET("/admin/settings", n.adminSettings)
 	e.PUT("/admin/settings", n.adminChange)
 	return e
--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -248,7 +248,7 @@
 	if c == nil {
 		return peer.CountsReply{}
 	}
-	done, running, ok := c.Counts(a.Uid)
+	done, running, ok := c.Counts(a.UID)
 	return peer.CountsReply{Known: ok, Done: done, Running: running}
 }
 
--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -17,7 +17,7 @@
 // final status is cached for ever.
 func (n *Node) readStatus(ctx context.Context, uid string) (wire.JobView, bool, error) {
 	if s, ok := n.finals.get(uid); ok {
-		return wire.JobView{Uid: uid, Status: s}, true, nil
+		return wire.JobView{UID: uid, Status: s}, true, nil
 	}
 	switch err := n.refresher.Refresh(ctx); {
 	case errors.Is(err, ledger.ErrNotListed) || errors.Is(err, store.ErrTooOld):
@@ -38,7 +38,7 @@
 
 // lookup reads how a job stands from its own records.
 func (n *Node) lookup(ctx context.Context, uid string) (wire.JobView, bool, error) {
-	view := wire.JobView{Uid: uid}
+	view := wire.JobView{UID: uid}
 	if s, ok := n.finals.get(uid); ok {
 		view.Status = s
 		return view, true, nil
@@ -61,7 +61,7 @@
 
 // viewOf makes the answer for a job whose record was read after the question.
 func (n *Node) viewOf(uid string, rec *ledger.Job) wire.JobView {
-	view := wire.JobView{Uid: uid, Status: rec.Status}
+	view := wire.JobView{UID: uid, Status: rec.Status}
 	if rec.Status.Final() {
 		n.finals.put(uid, rec.Status)
 		return view
@@ -70,14 +70,14 @@
 	// Reading and counting take time: a final status that was told meanwhile,
 	// here or at a peer, is not answered with something older.
 	if s, ok := n.finals.get(uid); ok {
-		return wire.JobView{Uid: uid, Status: s}
+		return wire.JobView{UID: uid, Status: s}
 	}
 	return view
 }
 
 // readFinal reads the final status of an archived job.
 func (n *Node) readFinal(ctx context.Context, uid string) (wire.JobView, bool, error) {
-	view := wire.JobView{Uid: uid}
+	view := wire.JobView{UID: uid}
 	item, found, err := n.store.Get(ctx, ledger.FinalKey(uid))
 	if err != nil || !found {
 		return view, false, err
@@ -107,9 +107,9 @@
 // addCounts adds how many tasks are done and running, as far as the leader tells.
 func (n *Node) addCounts(view *wire.JobView) {
 	if c := n.lead.Load(); c != nil {
-		view.Done, view.Running, _ = c.Counts(view.Uid)
+		view.Done, view.Running, _ = c.Counts(view.UID)
 	} else if p := n.leader(); p != nil {
-		view.Done, view.Running = n.countsAt(p, view.Uid)
+		view.Done, view.Running = n.countsAt(p, view.UID)
 	}
 	if view.Running > 0 {
 		view.Status = wire.JobRunning
--- a/internal/api/users.go
+++ b/internal/api/users.go
@@ -125,7 +125,7 @@
 	}
 	w, err := wire.ParseWork(body)
 	if err != nil {
-		uid, ok := wire.UidOf(body)
+		uid, ok := wire.UIDOf(body)
 		if !ok {
 			return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 		}
@@ -133,10 +133,10 @@
 	}
 	cat := n.cat.Load()
 	if cat == nil {
-		return n.refuse(c, w.Uid, http.StatusServiceUnavailable, "the machine types are not known yet")
+		return n.refuse(c, w.UID, http.StatusServiceUnavailable, "the machine types are not known yet")
 	}
 	if why, never := n.refusal(cat, &w); never {
-		return n.refuse(c, w.Uid, http.StatusUnprocessableEntity, why)
+		return n.refuse(c, w.UID, http.StatusUnprocessableEntity, why)
 	}
 	ctx, cancel := userContext(c, submitWait)
 	defer cancel()
@@ -149,8 +149,8 @@
 	// leaves a quarter of the budget to each rank above it.
 	leave := float64(wire.Critical.Level()-w.Rank.Level()) / float64(wire.Critical.Level())
 	tx := wire.Commit{
-		Guards: []wire.Guard{{Key: ledger.JobKey(w.Uid)}, {Key: ledger.FinalKey(w.Uid)}},
-		Apply:  []wire.Change{{Set: ledger.JobKey(w.Uid), Value: value}},
+		Guards: []wire.Guard{{Key: ledger.JobKey(w.UID)}, {Key: ledger.FinalKey(w.UID)}},
+		Apply:  []wire.Change{{Set: ledger.JobKey(w.UID), Value: value}},
 	}
 	_, err = n.store.Commit(store.User(ctx, leave), tx)
 	for errors.Is(err, store.ErrUnknown) && ctx.Err() == nil {
@@ -160,7 +160,7 @@
 	}
 	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
-		view, known, err := n.lookup(ctx, w.Uid)
+		view, known, err := n.lookup(ctx, w.UID)
 		if err != nil {
 			return errElsewhere
 		}
@@ -170,10 +170,10 @@
 		return c.JSON(http.StatusOK, view)
 	}
 	if err != nil {
-		slog.Info("submission not recorded", "uid", w.Uid, "err", err)
+		slog.Info("submission not recorded", "uid", w.UID, "err", err)
 		return notNow(c, err)
 	}
-	return c.JSON(http.StatusCreated, wire.JobView{Uid: w.Uid, Status: wire.JobQueued})
+	return c.JSON(http.StatusCreated, wire.JobView{UID: w.UID, Status: wire.JobQueued})
 }
 
 // refuse answers a submission that is not taken, unless the job is known already:
@@ -213,7 +213,7 @@
 
 func (n *Node) poll(c echo.Context) error {
 	uid := c.Param("id")
-	if !wire.ValidUid(uid) {
+	if !wire.ValidUID(uid) {
 		return echo.NewHTTPError(http.StatusNotFound, "no such job")
 	}
 	ctx, cancel := userContext(c, pollWait)
@@ -230,14 +230,14 @@
 
 func (n *Node) withdraw(c echo.Context) error {
 	uid := c.Param("id")
-	if !wire.ValidUid(uid) {
+	if !wire.ValidUID(uid) {
 		return echo.NewHTTPError(http.StatusNotFound, "no such job")
 	}
 	ctx, cancel := userContext(c, submitWait)
 	defer cancel()
 	for ctx.Err() == nil {
 		if s, ok := n.finals.get(uid); ok {
-			return c.JSON(http.StatusOK, wire.JobView{Uid: uid, Status: s})
+			return c.JSON(http.StatusOK, wire.JobView{UID: uid, Status: s})
 		}
 		item, found, err := n.store.Get(ctx, ledger.JobKey(uid))
 		if err != nil {
@@ -272,7 +272,7 @@
 		var conflict *store.ConflictError
 		switch {
 		case err == nil:
-			n.tellWithdrawn(peer.WithdrawnArgs{Uid: uid, Rec: rec, Stamp: stamp})
+			n.tellWithdrawn(peer.WithdrawnArgs{UID: uid, Rec: rec, Stamp: stamp})
 		case errors.As(err, &conflict):
 		default:
 			slog.Info("withdrawal not recorded", "uid", uid, "err", err)
@@ -294,7 +294,7 @@
 		}
 		go func() {
 			if err := p.Withdrawn(a); err != nil {
-				slog.Debug("peer not told of a withdrawal", "peer", p.Label, "uid", a.Uid, "err", err)
+				slog.Debug("peer not told of a withdrawal", "peer", p.Label, "uid", a.UID, "err", err)
 			}
 		}()
 	}
@@ -302,6 +302,6 @@
 
 // Withdrawn takes word of a committed withdrawal.
 func (n *Node) Withdrawn(a peer.WithdrawnArgs) {
-	n.finals.put(a.Uid, a.Rec.Status)
-	n.mirror.Hint(a.Uid, a.Rec, a.Stamp)
+	n.finals.put(a.UID, a.Rec.Status)
+	n.mirror.Hint(a.UID, a.Rec, a.Stamp)
 }
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -17,7 +17,7 @@
 	"lotusstile.dev/lotusstile/wire"
 )
 
-// ErrNoCapacity: none of the machines asked for can be had now.
+// ErrNoCapacity means that none of the machines asked for can be had now.
 var ErrNoCapacity = errors.New("no capacity")
 
 // Client is a client of the cloud. It is safe for concurrent use.
@@ -133,6 +133,6 @@
 		if !page.More || len(page.Hosts) == 0 {
 			return all, nil
 		}
-		after = page.Hosts[len(page.Hosts)-1].Uid
+		after = page.Hosts[len(page.Hosts)-1].UID
 	}
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -234,7 +234,7 @@
 		}
 		for _, pl := range j.load(n, row) {
 			m := c.fleet.Know(pl.Host, now)
-			a := &fleet.Attempt{Uid: uid, Leg: pl.Leg, Try: pl.Try, Shift: pl.Shift, Need: j.need,
+			a := &fleet.Attempt{UID: uid, Leg: pl.Leg, Try: pl.Try, Shift: pl.Shift, Need: j.need,
 				Image: j.rec.Spec.Rollout, Inherited: true}
 			j.pieces[n].live[pl.Leg] = a
 			j.live++
@@ -350,7 +350,7 @@
 	var views []wire.JobView
 	for _, j := range c.jobs {
 		if j.countsRevision > revision {
-			views = append(views, wire.JobView{Uid: j.uid, Done: j.done, Running: j.running()})
+			views = append(views, wire.JobView{UID: j.uid, Done: j.done, Running: j.running()})
 		}
 	}
 	return views, c.countsRevision
@@ -384,7 +384,7 @@
 	if a.State == fleet.Committed {
 		c.answerNow(a.Machine)
 	}
-	j := c.jobs[a.Uid]
+	j := c.jobs[a.UID]
 	if j == nil {
 		if a.State == fleet.Ended {
 			c.fleet.Record(a, c.now()) // its job is archived: nothing to record
--- a/internal/controller/lost.go
+++ b/internal/controller/lost.go
@@ -191,7 +191,7 @@
 		}
 		if m.Warned {
 			m.Each(func(a *fleet.Attempt) {
-				if j := c.jobs[a.Uid]; j != nil && a.Live() && !a.Stopping {
+				if j := c.jobs[a.UID]; j != nil && a.Live() && !a.Stopping {
 					c.stop(a, j.rec.Spec.StowS+c.Config.Cluster.Workers.ReportS, now, "spot notice")
 				}
 			})
--- a/internal/controller/picture.go
+++ b/internal/controller/picture.go
@@ -62,10 +62,10 @@
 // smallestNeed is what a task takes at least, by each kind of resource, of the
 // classes that have been seen.
 func (c *Controller) smallestNeed() fleet.Res {
-	least := fleet.Res{Cores: math.Inf(1), Gpus: math.Inf(1), Ram: math.Inf(1)}
+	least := fleet.Res{Cores: math.Inf(1), Gpus: math.Inf(1), RAM: math.Inf(1)}
 	for _, a := range c.arrive {
 		need := fleet.Need(a.spec)
-		least = fleet.Res{Cores: min(least.Cores, need.Cores), Gpus: min(least.Gpus, need.Gpus), Ram: min(least.Ram, need.Ram)}
+		least = fleet.Res{Cores: min(least.Cores, need.Cores), Gpus: min(least.Gpus, need.Gpus), RAM: min(least.RAM, need.RAM)}
 	}
 	if len(c.arrive) == 0 {
 		return fleet.Res{}
@@ -135,7 +135,7 @@
 		n.Free, n.Soon, n.Cache = m.Free(), m.Free(), m
 		n.Leaving = !m.Standby && !c.kept[m.ID]
 		m.Each(func(a *fleet.Attempt) {
-			j := c.jobs[a.Uid]
+			j := c.jobs[a.UID]
 			if !a.Live() {
 				return
 			}
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -114,8 +114,8 @@
 	seen := make(map[string]bool, len(hosts))
 	for i := range hosts {
 		h := &hosts[i]
-		seen[h.Uid] = true
-		m := c.fleet.Know(h.Uid, now)
+		seen[h.UID] = true
+		m := c.fleet.Know(h.UID, now)
 		if m.State == fleet.Gone {
 			continue
 		}
--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -73,7 +73,7 @@
 	for _, s := range plan.Stops {
 		a := p.victims[s.ID]
 		leeway := 0.0
-		if v := c.jobs[a.Uid].rec.Spec; v.MarkS > 0 && v.StowS < s.SlackS {
+		if v := c.jobs[a.UID].rec.Spec; v.MarkS > 0 && v.StowS < s.SlackS {
 			leeway = v.StowS + c.Config.Cluster.Workers.ReportS
 		}
 		slog.Info("preempted", "leg", a.Name(), "host", a.Machine.ID)
@@ -110,7 +110,7 @@
 	}
 	started := 0
 	for _, pl := range plan.Places {
-		j := c.jobs[pl.Job.Spec.Uid]
+		j := c.jobs[pl.Job.Spec.UID]
 		m := machines[pl.Node]
 		if m == nil || budget <= 0 && !j.writes(now) {
 			continue
@@ -123,7 +123,7 @@
 			if !p.dirty || p.due.After(now) {
 				budget--
 			}
-			a := &fleet.Attempt{Uid: j.uid, Leg: leg, Try: p.next, Need: j.need, Image: j.rec.Spec.Rollout}
+			a := &fleet.Attempt{UID: j.uid, Leg: leg, Try: p.next, Need: j.need, Image: j.rec.Spec.Rollout}
 			if j.rec.Spec.Shape == wire.Group {
 				a.Try = j.gangTry()
 			}
--- a/internal/controller/spare.go
+++ b/internal/controller/spare.go
@@ -61,7 +61,7 @@
 		n := int(math.Ceil(factor * float64(provision.Spare(perS, a.legs2, c.bootS(a.spec)))))
 		for i := range n {
 			spec := *a.spec
-			spec.Uid, spec.Legs, spec.Shape, spec.Together, spec.Scatter = "", 1, wire.Sweep, false, false
+			spec.UID, spec.Legs, spec.Shape, spec.Together, spec.Scatter = "", 1, wire.Sweep, false, false
 			jobs = append(jobs, &sched.Job{Spec: &spec, Level: a.level, AtMs: int64(i), Waiting: 1, ByYard: map[string]int{}, Fetch: c.slackS(a.spec) < 0})
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -48,25 +48,25 @@
 func (s AttemptState) String() string { return attemptNames[s] }
 
 // Res is an amount of a machine's resources.
-type Res struct{ Cores, Gpus, Ram float64 }
+type Res struct{ Cores, Gpus, RAM float64 }
 
 // Add returns r + o.
-func (r Res) Add(o Res) Res { return Res{r.Cores + o.Cores, r.Gpus + o.Gpus, r.Ram + o.Ram} }
+func (r Res) Add(o Res) Res { return Res{r.Cores + o.Cores, r.Gpus + o.Gpus, r.RAM + o.RAM} }
 
 // Sub returns r - o.
-func (r Res) Sub(o Res) Res { return Res{r.Cores - o.Cores, r.Gpus - o.Gpus, r.Ram - o.Ram} }
+func (r Res) Sub(o Res) Res { return Res{r.Cores - o.Cores, r.Gpus - o.Gpus, r.RAM - o.RAM} }
 
 const slack = 1e-6
 
 // Holds reports whether o fits into r.
 func (r Res) Holds(o Res) bool {
-	return o.Cores <= r.Cores+slack && o.Gpus <= r.Gpus+slack && o.Ram <= r.Ram+slack
+	return o.Cores <= r.Cores+slack && o.Gpus <= r.Gpus+slack && o.RAM <= r.RAM+slack
 }
 
 // Count is how many times o fits into r, at most limit.
 func (r Res) Count(o Res, limit int) int {
 	n := limit
-	for _, p := range [...][2]float64{{r.Cores, o.Cores}, {r.Gpus, o.Gpus}, {r.Ram, o.Ram}} {
+	for _, p := range [...][2]float64{{r.Cores, o.Cores}, {r.Gpus, o.Gpus}, {r.RAM, o.RAM}} {
 		if p[1] > 0 {
 			n = min(n, int((p[0]+slack)/p[1]))
 		}
@@ -75,7 +75,7 @@
 }
 
 // Need is what a task of a job takes.
-func Need(w *wire.Work) Res { return Res{w.Cores, w.Gpus, w.RamGb} }
+func Need(w *wire.Work) Res { return Res{w.Cores, w.Gpus, w.RAMGb} }
 
 type attemptKey struct {
 	leg string
@@ -84,7 +84,7 @@
 
 // Attempt is one try of one task on one machine.
 type Attempt struct {
-	Uid       string
+	UID       string
 	Leg       int
 	Try       uint64
 	Shift     uint64 // session of the machine that it was decided for
@@ -103,7 +103,7 @@
 }
 
 // Name is the task's name.
-func (a *Attempt) Name() string { return wire.LegName(a.Uid, a.Leg) }
+func (a *Attempt) Name() string { return wire.LegName(a.UID, a.Leg) }
 
 // Live reports whether the attempt may be on its machine, now or later.
 func (a *Attempt) Live() bool { return a.State < Ended }
--- /dev/null
+++ b/internal/ledger/golden_test.go
@@ -0,0 +1,62 @@
+package ledger
+
+import (
+	"encoding/json"
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"lotusstile.dev/lotusstile/wire"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// Stored records keep their keys, whatever the Go names are: a new release reads
+// what an older one has written.
+func TestGoldenRecords(t *testing.T) {
+	due := 900.5
+	for name, record := range map[string]struct{ value, empty any }{
+		"leader": {Leader{Node: "n"}, new(Leader)},
+		"job": {Job{Spec: wire.Work{UID: "run-000412", Berth: "train", Crew: "vision", Shape: wire.Sweep, Rank: wire.High, Legs: 16, Cores: 8, Gpus: 1, RAMGb: 64,
+			Rollout: "img-07", ImageGb: 6.2, Rigs: []string{"g8"}, Yard: "a", Together: true, Scatter: true, Standby: true, ExpectS: 240, MarkS: 30, StowS: 4, DueS: &due},
+			Status: wire.JobQueued, AtMs: 1, Per: 85}, new(Job)},
+		"final":   {Final{Status: wire.JobDone}, new(Final)},
+		"returns": {Returns{Hosts: []string{"m-1"}}, new(Returns)},
+		"images":  {Images{Names: []string{"img-07"}}, new(Images)},
+		"kept":    {Kept{Hosts: []string{"m-1"}}, new(Kept)},
+		"piece":   {Piece{Next: 3, Done: []byte{5}, Live: []Placed{{Leg: 1, Try: 2, Host: "m-1", Shift: 4}}}, new(Piece)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join("testdata", "golden", name+".json")
+			got := append(Encode(record.value), '\n')
+			if *update {
+				if err := os.WriteFile(path, got, 0o644); err != nil {
+					t.Fatal(err)
+				}
+			}
+			want, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if string(got) != string(want) {
+				t.Errorf("encoded as %s want %s", got, want)
+			}
+			for decoder, decode := range map[string]func([]byte, any) error{"wire.Decode": wire.Decode, "encoding/json": json.Unmarshal} {
+				if err := decode(want, record.empty); err != nil {
+					t.Fatalf("%s: %v", decoder, err)
+				}
+				if again := append(Encode(record.empty), '\n'); string(again) != string(want) {
+					t.Errorf("%s decodes to %s want %s", decoder, again, want)
+				}
+			}
+		})
+	}
+	keys := []string{JobKey("run-000412"), FinalKey("run-000412"), ImagesKey("m-1"), PieceKey("run-000412", 7), LeaderKey, TermKey, SettingsKey, ReturnsPrefix, KeptPrefix}
+	want := []string{"j/run-000412", "f/run-000412", "i/m-1", "p/run-000412/000007", "e/leader", "e/term", "o/settings", "r/", "k/"}
+	for i := range keys {
+		if keys[i] != want[i] {
+			t.Errorf("key %s, want %s", keys[i], want[i])
+		}
+	}
+}
--- a/internal/ledger/settings.go
+++ b/internal/ledger/settings.go
@@ -17,13 +17,13 @@
 func CheckSettings(s wire.Settings) error {
 	var faults []error
 	if !(s.IntervalS >= 0.1 && s.IntervalS <= 60) {
-		faults = append(faults, errors.New("IntervalS must be from 0.1 to 60"))
+		faults = append(faults, errors.New("setting IntervalS must be from 0.1 to 60"))
 	}
 	if s.Window < 1 || s.Window > 10000 {
-		faults = append(faults, errors.New("Window must be from 1 to 10000"))
+		faults = append(faults, errors.New("setting Window must be from 1 to 10000"))
 	}
 	if !(s.Spare >= 0 && s.Spare <= 100) {
-		faults = append(faults, errors.New("Spare must be from 0 to 100"))
+		faults = append(faults, errors.New("setting Spare must be from 0 to 100"))
 	}
 	return errors.Join(faults...)
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -15,6 +15,11 @@
 	"lotusstile.dev/lotusstile/wire"
 )
 
+// serviceName names the net/rpc service. It changes when what its methods send or
+// take changes in a way that an older release would misread: nodes of different
+// releases then cannot reach each other, and work as if they were cut off.
+const serviceName = "Controller"
+
 // PingArgs tells a peer about the caller.
 type PingArgs struct {
 	From string
@@ -36,7 +41,7 @@
 }
 
 // CountsArgs asks the leader for a job's counts.
-type CountsArgs struct{ Uid string }
+type CountsArgs struct{ UID string }
 
 // CountsReply gives them; Known is false if the callee does not lead.
 type CountsReply struct {
@@ -69,7 +74,7 @@
 // WithdrawnArgs tells that a job's withdrawal is committed: its record and the
 // record's stamp.
 type WithdrawnArgs struct {
-	Uid   string
+	UID   string
 	Rec   ledger.Job
 	Stamp uint64
 }
@@ -114,7 +119,7 @@
 // NewServer makes the server that answers peers.
 func NewServer(h Handler) (*rpc.Server, error) {
 	srv := rpc.NewServer()
-	if err := srv.RegisterName("Node", &Node{h}); err != nil {
+	if err := srv.RegisterName(serviceName, &Node{h}); err != nil {
 		return nil, fmt.Errorf("register rpc: %w", err)
 	}
 	return srv, nil
@@ -219,7 +224,7 @@
 func (p *Peer) Ping(a PingArgs) (PingReply, error) {
 	begun := time.Now()
 	var r PingReply
-	err := p.call("Node.Ping", a, &r, p.timeout)
+	err := p.call(serviceName+".Ping", a, &r, p.timeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
@@ -254,32 +259,32 @@
 // Counts asks for a job's counts.
 func (p *Peer) Counts(uid string) (CountsReply, error) {
 	var r CountsReply
-	err := p.call("Node.Counts", CountsArgs{uid}, &r, p.timeout)
+	err := p.call(serviceName+".Counts", CountsArgs{uid}, &r, p.timeout)
 	return r, err
 }
 
 // CheckIn relays a report.
 func (p *Peer) CheckIn(body []byte) (CheckInReply, error) {
 	var r CheckInReply
-	err := p.call("Node.CheckIn", CheckInArgs{body}, &r, p.timeout)
+	err := p.call(serviceName+".CheckIn", CheckInArgs{body}, &r, p.timeout)
 	return r, err
 }
 
 // Withdrawn tells the peer of a withdrawal.
 func (p *Peer) Withdrawn(a WithdrawnArgs) error {
-	return p.call("Node.Withdrawn", a, &WithdrawnReply{}, p.timeout)
+	return p.call(serviceName+".Withdrawn", a, &WithdrawnReply{}, p.timeout)
 }
 
 // User passes a user's request on.
 func (p *Peer) User(a UserArgs, timeout time.Duration) (UserReply, error) {
 	var r UserReply
-	err := p.call("Node.User", a, &r, timeout)
+	err := p.call(serviceName+".User", a, &r, timeout)
 	return r, err
 }
 
 // Lead asks the leader for its status.
 func (p *Peer) Lead() (*wire.LeadStatus, error) {
 	var r LeadReply
-	err := p.call("Node.Lead", PingArgs{}, &r, p.timeout)
+	err := p.call(serviceName+".Lead", PingArgs{}, &r, p.timeout)
 	return r.Lead, err
 }
--- a/internal/provision/provision.go
+++ b/internal/provision/provision.go
@@ -31,7 +31,7 @@
 }
 
 // Cap is what a machine of a type offers.
-func Cap(r *wire.Rig) fleet.Res { return fleet.Res{Cores: r.Cores, Gpus: r.Gpus, Ram: r.RamGb} }
+func Cap(r *wire.Rig) fleet.Res { return fleet.Res{Cores: r.Cores, Gpus: r.Gpus, RAM: r.RAMGb} }
 
 // Fits reports whether a task of the job fits some machine that it may use.
 func Fits(cat *wire.Catalog, w *wire.Work) bool {
--- a/internal/sched/index.go
+++ b/internal/sched/index.go
@@ -30,7 +30,7 @@
 	least := fleet.Need(window[0].Spec)
 	for _, j := range window[1:] {
 		n := fleet.Need(j.Spec)
-		least = fleet.Res{Cores: min(least.Cores, n.Cores), Gpus: min(least.Gpus, n.Gpus), Ram: min(least.Ram, n.Ram)}
+		least = fleet.Res{Cores: min(least.Cores, n.Cores), Gpus: min(least.Gpus, n.Gpus), RAM: min(least.RAM, n.RAM)}
 	}
 	r.least = least
 	for l := range r.open {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -126,11 +126,11 @@
 	late := func(j *Job) int { return b2i(j.LaxS < 0 && j.Spec.Shape == wire.Sweep && j.WaitedS < patienceS) }
 	slices.SortFunc(jobs, func(a, b *Job) int {
 		if a.First && b.First {
-			return cmp.Or(cmp.Compare(b.Level, a.Level), cmp.Compare(a.AtMs, b.AtMs), cmp.Compare(a.Spec.Uid, b.Spec.Uid))
+			return cmp.Or(cmp.Compare(b.Level, a.Level), cmp.Compare(a.AtMs, b.AtMs), cmp.Compare(a.Spec.UID, b.Spec.UID))
 		}
 		return cmp.Or(cmp.Compare(b.Level, a.Level), cmp.Compare(b2i(b.First), b2i(a.First)),
 			cmp.Compare(late(a), late(b)), cmp.Compare(a.LaxS, b.LaxS),
-			cmp.Compare(a.AtMs, b.AtMs), cmp.Compare(a.Spec.Uid, b.Spec.Uid))
+			cmp.Compare(a.AtMs, b.AtMs), cmp.Compare(a.Spec.UID, b.Spec.UID))
 	})
 }
 
@@ -355,7 +355,7 @@
 // taskPrice is what a task's share of the machine costs.
 func taskPrice(n *Node, need fleet.Res) float64 {
 	share := 0.0
-	for _, p := range [...][2]float64{{need.Cores, n.Cap.Cores}, {need.Gpus, n.Cap.Gpus}, {need.Ram, n.Cap.Ram}} {
+	for _, p := range [...][2]float64{{need.Cores, n.Cap.Cores}, {need.Gpus, n.Cap.Gpus}, {need.RAM, n.Cap.RAM}} {
 		if p[1] > 0 {
 			share = max(share, p[0]/p[1])
 		}
@@ -610,5 +610,5 @@
 		want -= c
 		r.reserved[i] = true
 	}
-	r.plan.Reserved = j.Spec.Uid
+	r.plan.Reserved = j.Spec.UID
 }
--- a/internal/standin/answers_test.go
+++ b/internal/standin/answers_test.go
@@ -167,6 +167,9 @@
 			t.Errorf("after a change: %+v", s)
 		}
 		d.expect(409, "n0", "PUT", path, `{"Stamp":0,"Window":60}`)
+		d.expect(400, "n0", "PUT", path, fmt.Sprintf(`{"Stamp":%d,"Profiling":"yes"}`, s.Stamp))
+		d.expect(403, "n1", "GET", "/admin/pprof/heap", "")
+		read(d.expect(200, "n0", "PUT", path, fmt.Sprintf(`{"Stamp":%d,"Profiling":true}`, s.Stamp)))
 		time.Sleep(time.Second)
 		for _, n := range labels {
 			read(d.expect(200, n, "GET", path, ""))
@@ -177,6 +180,8 @@
 			if err := json.Unmarshal([]byte(d.expect(200, n, "GET", "/admin/status", "")), &st); err != nil || st.Lead == nil || st.Lead.Machines["ready"] == 0 || st.Leader == "" {
 				t.Errorf("%s tells %+v, %v", n, st, err)
 			}
+			d.expect(200, n, "GET", "/admin/pprof/heap", "")
+			d.expect(404, n, "GET", "/admin/pprof/nonsense", "")
 			if text := d.expect(200, n, "GET", "/admin/metrics", ""); !strings.Contains(text, "lotusstile_term ") {
 				t.Errorf("%s has no metrics: %s", n, text)
 			}
--- a/internal/standin/judge.go
+++ b/internal/standin/judge.go
@@ -13,11 +13,11 @@
 func (w *World) Submit(node string, spec wire.Work) bool {
 	asked := time.Now()
 	status, v := w.Ask(node, http.MethodPost, "/work", spec)
-	w.answered(spec.Uid, asked, status, v)
+	w.answered(spec.UID, asked, status, v)
 	w.mu.Lock()
-	known := w.accepted[spec.Uid] != (time.Time{})
+	known := w.accepted[spec.UID] != (time.Time{})
 	if status == http.StatusBadRequest || status == http.StatusUnprocessableEntity {
-		w.breach("forgotten", "%s is answered %d at %s", spec.Uid, status, node)
+		w.breach("forgotten", "%s is answered %d at %s", spec.UID, status, node)
 	}
 	w.mu.Unlock()
 	return known
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -388,7 +388,7 @@
 
 // OpenHold opens a hold that ends unless it is touched within ttl.
 func (c *Client) OpenHold(ctx context.Context, ttl time.Duration) (uint64, error) {
-	status, data, err := c.call(ctx, http.MethodPost, "/holds", wire.HoldRequest{TtlMs: ttl.Milliseconds()}, 0)
+	status, data, err := c.call(ctx, http.MethodPost, "/holds", wire.HoldRequest{TTLMs: ttl.Milliseconds()}, 0)
 	if err != nil {
 		return 0, fmt.Errorf("open hold: %w", err)
 	}
--- a/wire/admin.go
+++ b/wire/admin.go
@@ -7,6 +7,7 @@
 	IntervalS float64 // seconds from round to round
 	Window    int     // most jobs that a round looks over
 	Spare     float64 // times the usual spare room; 0 keeps none
+	Profiling bool    // profiles are served at /admin/pprof
 }
 
 // Status answers GET /admin/status.
