--- /dev/null
+++ b/internal/controller/limits_test.go
@@ -0,0 +1,70 @@
+package controller
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/clusterversion"
+	"lotusstile.dev/lotusstile/internal/config"
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/provision"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// latest is a cluster in which every node is of this release.
+type latest struct{}
+
+func (latest) InForce() clusterversion.Version { return clusterversion.Latest }
+
+// No more tasks are placed than the record of their piece has room for: a launch that
+// can never be recorded would keep its machine's room for ever.
+func TestPlacementsFitTheirRecords(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := watched(&now)
+	c.Version = latest{}
+	kb := 2.0
+	c.Config.Cluster.State.WriteRps, c.Config.Cluster.State.Next = 1000, &config.NextStateLimits{ValueKb: &kb}
+	c.Config.Cluster.Teams = []config.Team{{Name: "crew"}}
+	c.cat = &wire.Catalog{Rigs: []wire.Rig{{Sku: "g8", Cores: 1, Gpus: 8, RAMGb: 512, Yards: []string{"a"}}}}
+	c.Heard, c.Rounded = func() []string { return nil }, func(time.Duration) {}
+	c.Mirror.Reset(nil, 0, now)
+	for i := range 170 {
+		host := fmt.Sprintf("m-%03d-%s", i, strings.Repeat("x", 40))
+		m, _ := c.fleet.Report(&wire.Report{Host: host, Rig: "g8", Yard: "a", Shift: 1, Tick: 1, Baton: c.term}, now)
+		m.Rig, m.Cap = "g8", provision.Cap(&c.cat.Rigs[0])
+	}
+	per := ledger.LegsPerPiece(c.Config.CurrentValueBytes(), c.Config.ValueBytes())
+	spec := wire.Work{UID: "run-000001", Crew: "crew", Shape: wire.Sweep, Legs: 2 * per, Cores: 1, RAMGb: 1, Rollout: "i", Rank: wire.High}
+	c.takeJob(spec.UID, ledger.Entry{Job: &ledger.Job{Spec: spec, Status: wire.JobQueued, Per: per}, Stamp: 1})
+	c.round(time.Second)
+	j := c.jobs[spec.UID]
+	if j.live == 0 || j.live == spec.Legs {
+		t.Fatalf("%d of %d tasks are placed", j.live, spec.Legs)
+	}
+	for _, p := range j.pieces {
+		if value := c.encodePiece(p, now); value == nil {
+			t.Errorf("the record of %d tasks does not fit", len(p.live))
+		}
+	}
+	// When some have ended, others are placed.
+	placed := j.live
+	for _, p := range j.pieces {
+		for leg, a := range p.live {
+			if leg%2 == 0 {
+				c.fleet.Commit(a, now)
+				a.Cause, a.State = wire.CauseDone, fleet.Ended
+				delete(p.live, leg)
+				p.done.SetDone(leg % per)
+				j.live--
+				j.done++
+			}
+		}
+	}
+	c.round(time.Second)
+	if j.live <= placed/2+1 {
+		t.Errorf("%d tasks are placed after the end of half of %d", j.live, placed)
+	}
+}
--- a/internal/standin/day_test.go
+++ b/internal/standin/day_test.go
@@ -95,11 +95,16 @@
 	w     *standin.World
 	net   *standin.Network
 	stops [3]context.CancelFunc
+	old   [3]bool                 // nodes of the release before cluster version 2
+	next  *config.NextStateLimits // what the nodes are told of the state service's limits
 }
 
-func newDay(t testing.TB, seed uint64) *day {
+func newDay(t testing.TB, seed uint64, prepare ...func(d *day)) *day {
 	nw := standin.NewNetwork(rand.New(rand.NewPCG(seed, 1)))
 	d := &day{t: t, net: nw, w: standin.NewWorld(nodeConfig(t, 0), nw, labels, catalog)}
+	for _, f := range prepare {
+		f(d)
+	}
 	for i := range labels {
 		d.start(i)
 	}
@@ -111,14 +116,19 @@
 		return
 	}
 	cfg := nodeConfig(d.t, i)
+	cfg.Cluster.State.Next = d.next
 	l := labels[i]
 	ctx, cancel := context.WithCancel(context.Background())
 	n := api.New(cfg, api.Network{State: d.net.Port(l), Cloud: d.net.Port(l), Workers: d.net.Port(l), Mesh: d.net.Mesh(l + ":81")})
-	srv, err := peer.NewServer(n)
+	srv, err := peer.NewServer(release{Handler: n, d: d, node: i})
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	d.net.Attach(l, n.Handler(), nil)
+	users := n.Handler()
+	if d.old[i] {
+		users = withoutAwaits(users)
+	}
+	d.net.Attach(l, users, nil)
 	d.net.Attach(l+":81", n.Handler(), srv)
 	n.Start(ctx)
 	d.stops[i] = cancel
--- a/internal/standin/judge.go
+++ b/internal/standin/judge.go
@@ -81,11 +81,12 @@
 		w.breach("went_back", "%s was %s, is %s", uid, last.status, v.Status)
 	case v.Status == wire.JobDone && len(w.done[uid]) != spec.Legs:
 		w.breach("not_done", "%s is told done", uid)
-	case v.Status == wire.JobAborted && !w.asked[uid]:
+	case v.Status == wire.JobAborted && !w.askedToCancel(uid):
 		w.breach("went_back", "%s is told cancelled, but nobody cancelled it", uid)
 	case over && v.Status.Final() && v.Status != last.status:
 		w.breach("went_back", "%s is told %s and %s", uid, last.status, v.Status)
 	}
+	w.judgeOrphan(uid, asked, v.Status)
 	now := time.Now()
 	if !accepted {
 		w.accepted[uid] = now
@@ -179,7 +180,7 @@
 	for uid, at := range w.accepted {
 		s := w.specs[uid]
 		begun, began := w.begins[uid]
-		if w.asked[uid] && !began {
+		if w.askedToCancel(uid) && !began {
 			continue
 		}
 		groups := []string{"class " + s.Berth, "team " + s.Crew}
--- /dev/null
+++ b/internal/standin/limits.go
@@ -0,0 +1,62 @@
+package standin
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// Limits is what the state service takes. Zero fields are no limit.
+type Limits struct {
+	ValueBytes int
+	TxnOps     int
+	WriteRps   float64
+}
+
+// stateLimits is the limits in force and what came of them.
+type stateLimits struct {
+	Limits
+	writes   *rate.Limiter
+	rejected []string // keys of commits that were answered 400
+}
+
+// SetLimits brings limits into force, without notice.
+func (s *State) SetLimits(l Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits.Limits = l
+	s.limits.writes = nil
+	if l.WriteRps > 0 {
+		s.limits.writes = rate.NewLimiter(rate.Limit(l.WriteRps), max(1, int(l.WriteRps)))
+	}
+}
+
+// Rejected lists the keys of commits that were over the limits.
+func (s *State) Rejected() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string{}, s.limits.rejected...)
+}
+
+// tooLarge reports whether a commit is over a limit. s.mu is held.
+func (s *State) tooLarge(tx wire.Commit) bool {
+	limits := &s.limits
+	over := limits.TxnOps > 0 && (len(tx.Apply) > limits.TxnOps || len(tx.Guards) > 4*limits.TxnOps)
+	for _, change := range tx.Apply {
+		over = over || limits.ValueBytes > 0 && len(change.Value) > limits.ValueBytes
+	}
+	if !over {
+		return false
+	}
+	for _, change := range tx.Apply {
+		limits.rejected = append(limits.rejected, change.Set+change.Drop)
+	}
+	return true
+}
+
+// tooFast reports whether a commit is over the rate of changes. s.mu is held.
+func (s *State) tooFast(tx wire.Commit) bool {
+	return s.limits.writes != nil && len(tx.Apply) > 0 && !s.limits.writes.AllowN(time.Now(), len(tx.Apply))
+}
--- /dev/null
+++ b/internal/standin/release_test.go
@@ -0,0 +1,82 @@
+package standin_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/peer"
+)
+
+// release lets a node meet its peers as its release does: one of the release before
+// cluster version 2 says no version, reads none, and passes over Awaits.
+type release struct {
+	peer.Handler
+	d    *day
+	node int
+}
+
+// Ping answers a ping as the node's release and the caller's allow.
+func (r release) Ping(a peer.PingArgs) peer.PingReply {
+	reply := r.Handler.Ping(a)
+	if r.d.old[r.node] || r.d.old[slices.Index(labels, a.From)] {
+		reply.Version = 0
+	}
+	return reply
+}
+
+// User answers a request that a peer passes on.
+func (r release) User(a peer.UserArgs) peer.UserReply {
+	if r.d.old[r.node] {
+		a.Body = dropAwaits(a.Body)
+	}
+	return r.Handler.User(a)
+}
+
+// withoutAwaits answers users as the release before, which ignores Awaits.
+func withoutAwaits(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		body = dropAwaits(body)
+		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+		h.ServeHTTP(w, r)
+	})
+}
+
+// dropAwaits takes Awaits out of a submission.
+func dropAwaits(body []byte) []byte {
+	fields := map[string]json.RawMessage{}
+	if json.Unmarshal(body, &fields) != nil || fields["Awaits"] == nil {
+		return body
+	}
+	delete(fields, "Awaits")
+	changed, err := json.Marshal(fields)
+	if err != nil {
+		panic(err)
+	}
+	return changed
+}
+
+// upgrade ends a node of the release before and starts it again as a new one.
+func (d *day) upgrade(i int, back time.Duration) {
+	d.crash(i)
+	d.old[i] = false
+	time.Sleep(back)
+	d.start(i)
+}
+
+// mustJSON encodes what a test sends.
+func mustJSON(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -26,6 +26,7 @@
 	holds   map[uint64]*hold
 	waiters map[chan struct{}]bool
 	down    bool
+	limits  stateLimits
 	Writes  int
 	Judge   func(tx wire.Commit) // looks at every commit that is applied
 }
@@ -171,6 +172,14 @@
 		reply(w, http.StatusBadRequest, wire.Fault{Error: "malformed"})
 		return
 	}
+	if s.tooLarge(tx) {
+		reply(w, http.StatusBadRequest, wire.Fault{Error: "over the limits"})
+		return
+	}
+	if s.tooFast(tx) {
+		reply(w, http.StatusTooManyRequests, wire.Fault{Error: "too many changes"})
+		return
+	}
 	for _, c := range tx.Apply {
 		if c.Permit != 0 && s.holds[c.Permit] == nil {
 			reply(w, http.StatusBadRequest, wire.Fault{Error: "no such lease"})
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -208,6 +208,7 @@
 		w.breach("ran_twice", "%s starts on %s and is on %v", leg, host, w.on[leg])
 	}
 	w.on[leg][host] = true
+	w.judgeReleased(leg, &s)
 	if at, ok := w.aborted[uid]; ok {
 		w.lateStarts++
 		if time.Since(at).Seconds() > w.Cfg.Cluster.Workers.CancelS {
@@ -455,14 +456,30 @@
 // User submits a job, polls it and, if it stands, withdraws it after stay. It
 // returns when the job is over, or at the deadline.
 func (w *World) User(spec wire.Work, stay time.Duration, deadline time.Time) {
+	if w.SubmitUntil(spec, deadline) {
+		w.Follow(spec, stay, deadline)
+	}
+}
+
+// node picks a controller, as the load balancer does.
+func (w *World) node() string { return w.Nodes[w.Net.Chance(len(w.Nodes))] }
+
+// SubmitUntil submits a job until it is accepted. It reports whether it was before the
+// deadline.
+func (w *World) SubmitUntil(spec wire.Work, deadline time.Time) bool {
 	w.Upload(spec)
-	node := func() string { return w.Nodes[w.Net.Chance(len(w.Nodes))] }
-	for !w.Submit(node(), spec) {
+	for !w.Submit(w.node(), spec) {
 		if time.Now().After(deadline) {
-			return
+			return false
 		}
 		time.Sleep(time.Second)
 	}
+	return true
+}
+
+// Follow polls an accepted job and withdraws it after stay, if that is above 0. It
+// returns when the job is over, or at the deadline.
+func (w *World) Follow(spec wire.Work, stay time.Duration, deadline time.Time) {
 	told := 0
 	leaveAt := time.Now().Add(stay)
 	for {
@@ -472,13 +489,13 @@
 			}
 			return
 		}
-		w.Poll(node(), spec.UID)
+		w.Poll(w.node(), spec.UID)
 		if w.Told(spec.UID) != "" {
 			if told++; told > 4 {
 				return
 			}
 		} else if stay > 0 && time.Now().After(leaveAt) {
-			if !w.Withdraw(node(), spec.UID) {
+			if !w.Withdraw(w.node(), spec.UID) {
 				time.Sleep(time.Second) // it may have been carried out all the same
 			}
 			continue
