--- /dev/null
+++ b/internal/api/admission_test.go
@@ -0,0 +1,27 @@
+package api
+
+import (
+	"testing"
+
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// The stages of a pipeline come within milliseconds of each other, and most of them have
+// the lowest rank: by that, two or three at once were told to come back a second later
+// although there was room for them.
+func TestStagesOfPipelinesAreAdmittedLikeTheirLast(t *testing.T) {
+	for _, tc := range []struct {
+		rank   wire.Rank
+		awaits []string
+		want   wire.Rank
+	}{
+		{wire.BestEffort, nil, wire.BestEffort},
+		{wire.BestEffort, []string{"run-000001"}, wire.High},
+		{wire.Standard, []string{"run-000001"}, wire.High},
+		{wire.Critical, []string{"run-000001"}, wire.Critical},
+	} {
+		if got := admissionRank(&wire.Work{Rank: tc.rank, Awaits: tc.awaits}); got != tc.want {
+			t.Errorf("%s with Awaits %v is admitted as %s, want %s", tc.rank, tc.awaits, got, tc.want)
+		}
+	}
+}
--- a/internal/api/users.go
+++ b/internal/api/users.go
@@ -152,7 +152,7 @@
 	}
 	// When many come at once, those of higher rank are taken first: each rank
 	// leaves a quarter of the budget to each rank above it.
-	leave := float64(wire.Critical.Level()-w.Rank.Level()) / float64(wire.Critical.Level())
+	leave := float64(wire.Critical.Level()-admissionRank(&w).Level()) / float64(wire.Critical.Level())
 	tx := wire.Commit{
 		Guards: []wire.Guard{{Key: ledger.JobKey(w.UID)}, {Key: ledger.FinalKey(w.UID)}},
 		Apply:  []wire.Change{{Set: ledger.JobKey(w.UID), Value: value}},
@@ -184,6 +184,17 @@
 	return c.JSON(http.StatusCreated, wire.JobView{UID: w.UID, Status: status})
 }
 
+// admissionRank is the rank by which a submission is admitted when many come at once.
+// A job that waits for others is a stage of a pipeline. Users give the rank that they
+// care about to its last stage only, and can submit that only once the others are
+// accepted: all of them are admitted like work of high rank.
+func admissionRank(work *wire.Work) wire.Rank {
+	if len(work.Awaits) > 0 && work.Rank.Level() < wire.High.Level() {
+		return wire.High
+	}
+	return work.Rank
+}
+
 // refuse answers a submission that is not taken, unless the job is known already:
 // one that was accepted is never refused later.
 func (n *Node) refuse(c echo.Context, uid string, status int, why string) error {
