Inherited rank counts once the time is shorter than a new machine takes

Now they compete by their own rank until what is left to their due time, or to the time that users give for their start, is no longer than a machine boots.

--- /dev/null
+++ b/internal/controller/dependencies_test.go
@@ -0,0 +1,78 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// takeStage takes an array of one task into the picture.
+func (c *Controller) takeStage(uid string, rank wire.Rank, dueS float64, at time.Time, stamp uint64, awaits ...string) {
+	spec := wire.Work{UID: uid, Crew: "crew", Shape: wire.Sweep, Legs: 1, Cores: 1, RAMGb: 1, Rollout: "i", Rank: rank, ExpectS: 10, Awaits: awaits}
+	if dueS > 0 {
+		spec.DueS = &dueS
+	}
+	c.takeJob(uid, ledger.Entry{Job: &ledger.Job{Spec: spec, Status: wire.JobQueued, AtMs: at.UnixMilli(), Per: 8}, Stamp: stamp})
+}
+
+// A stage stops nobody's work for the rank of the last one while there is time to rent a
+// machine: batch lost a third of its starts to stages that were in no hurry.
+func TestInheritedRankCountsWhenTimeIsShort(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := watched(&now)
+	c.cat = &wire.Catalog{Rigs: []wire.Rig{{Sku: "g8", Cores: 64, Gpus: 8, RAMGb: 512, BootS: 45, Yards: []string{"a"}}}}
+	c.takeStage("run-000001", wire.BestEffort, 0, now, 1)
+	c.takeStage("run-000002", wire.High, 200, now, 2, "run-000001")
+	first, last := c.jobs["run-000001"], c.jobs["run-000002"]
+	for _, tc := range []struct {
+		after time.Duration
+		want  wire.Rank
+	}{{0, wire.BestEffort}, {100 * time.Second, wire.BestEffort}, {150 * time.Second, wire.High}} {
+		if got := c.levelNow(first, now.Add(tc.after)); got != tc.want.Level() {
+			t.Errorf("after %v its level is %d, want %d", tc.after, got, tc.want.Level())
+		}
+	}
+	if got := c.levelNow(last, now); got != wire.High.Level() {
+		t.Errorf("the last stage has level %d", got)
+	}
+	// Once the last stage is cancelled, nothing is inherited from it.
+	rec := *last.rec
+	rec.Status = wire.JobAborted
+	c.takeJob(last.uid, ledger.Entry{Job: &rec, Stamp: 3})
+	if got := c.levelNow(first, now.Add(150*time.Second)); got != wire.BestEffort.Level() {
+		t.Errorf("after its cancellation the first has level %d", got)
+	}
+}
+
+// A job waits until the ends of all that it needs are committed. That a record is gone
+// is no such evidence: the job may have been cancelled.
+func TestReleaseNeedsCommittedEnds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := watched(&now)
+	c.takeStage("run-000001", wire.BestEffort, 0, now, 1)
+	c.takeStage("run-000002", wire.High, 0, now, 2, "run-000001", "run-000009") // the second was archived long ago
+	j := c.jobs["run-000002"]
+	if j.waiting() != 0 {
+		t.Fatal("it can be placed at once")
+	}
+	c.takeJob("run-000001", ledger.Entry{Stamp: 5}) // archived, by whom is not known
+	c.finished("run-000009", wire.JobDone, now)
+	if j.waiting() != 0 {
+		t.Error("it can be placed although the end of a job that it needs is not known")
+	}
+	if got := c.graph.Unresolved(); len(got) != 1 || got[0] != "run-000001" {
+		t.Errorf("the final statuses of %v are to be read", got)
+	}
+	later := now.Add(time.Minute)
+	c.finished("run-000001", wire.JobDone, later)
+	if j.waiting() != 1 || j.fromMs != later.UnixMilli() {
+		t.Errorf("%d tasks can be placed, counted from %d", j.waiting(), j.fromMs)
+	}
+	c.takeStage("run-000003", wire.High, 0, now, 6, "run-000008")
+	c.finished("run-000008", wire.JobAborted, now)
+	if other := c.jobs["run-000003"]; other.waiting() != 0 || !c.over(other) || other.outcome() != wire.JobAborted {
+		t.Error("a job that needs a cancelled one is not over")
+	}
+}
--- a/internal/controller/picture.go
+++ b/internal/controller/picture.go
@@ -33,7 +33,7 @@
 			t.Used.Gpus += float64(j.live) * j.need.Gpus
 		}
 		if sj := c.waitingJob(j, now); sj != nil {
-			top = max(top, j.level)
+			top = max(top, sj.Level)
 			if c.overdueToBegin(j, now) {
 				// It begins; the rest of its tasks wait their turn.
 				first := *sj
@@ -88,7 +88,7 @@
 	if !known {
 		return nil // a zone that a task may be in is not known yet
 	}
-	sj := &sched.Job{Spec: spec, Level: j.level, AtMs: j.fromMs, Waiting: waiting, Live: j.live, ByYard: byYard,
+	sj := &sched.Job{Spec: spec, Level: c.levelNow(j, now), AtMs: j.fromMs, Waiting: waiting, Live: j.live, ByYard: byYard,
 		WaitedS: now.Sub(j.waitFrom).Seconds(), SlackS: c.slackS(spec), LaxS: c.laxS(j, now), Avoid: c.avoids(j, now)}
 	// What a service has lost is down until it has its image again.
 	sj.Fetch = sj.SlackS < 0 || j.lost > 0 && spec.Shape == wire.Standing
@@ -99,6 +99,23 @@
 	return sj
 }
 
+// levelNow is the level at which a job competes for room. That of a job which needs it
+// counts once what is left of the time that the users give either is no longer than a
+// new machine takes: until then its stages can wait for room like others of their own
+// rank, and stop nobody's work.
+func (c *Controller) levelNow(j *job, now time.Time) int {
+	spec := &j.rec.Spec
+	own := spec.Rank.Level()
+	if j.level <= own {
+		return own
+	}
+	left := min(c.laxS(j, now), c.slackS(spec)-now.Sub(j.waitFrom).Seconds())
+	if left > c.bootS(spec) {
+		return own
+	}
+	return j.level
+}
+
 // beginLeases is after how many leases the first task of a large array goes before
 // the tasks of others of its rank.
 const beginLeases = 10
