--- a/internal/api/dependencies.go
+++ b/internal/api/dependencies.go
@@ -25,6 +25,9 @@
 // status that this node can see.
 var errInconsistent = errors.New("a job that others wait for is not found")
 
+// errOlderRelease means that a controller may serve which does not understand Awaits.
+var errOlderRelease = fmt.Errorf("not all controllers are known to understand Awaits yet: %w", errElsewhere)
+
 // initialStatus is the status that a new job's record is made with: cancelled if a job
 // that it names is, also by way of others. Its error is a *dependencyError if the job
 // can never run, or another one if that cannot be decided now.
@@ -37,7 +40,7 @@
 		return wire.JobQueued, nil
 	}
 	if n.version.InForce() < clusterversion.Pipelines {
-		return "", errElsewhere // a node of the older release would start it at once
+		return "", errOlderRelease // it would start the job at once
 	}
 	if err := n.refresher.Refresh(ctx); err != nil {
 		return "", err
@@ -131,6 +134,9 @@
 	if errors.As(err, &never) {
 		return n.refuse(c, uid, http.StatusUnprocessableEntity, never.Error())
 	}
+	if errors.Is(err, errElsewhere) {
+		return err
+	}
 	return errElsewhere
 }
 
--- a/internal/api/http.go
+++ b/internal/api/http.go
@@ -78,7 +78,7 @@
 
 // errElsewhere means that this node cannot serve a request now, but another
 // one may.
-var errElsewhere = errors.New("the state service is not reached from here")
+var errElsewhere = errors.New("cannot be served from here now")
 
 func readBody(c echo.Context) ([]byte, error) {
 	if body, ok := c.Get("body").([]byte); ok {
--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -143,6 +143,7 @@
 	go n.mirror.Run(ctx, n.store, hold, pause)
 	go ledger.Follow(ctx, n.store, ledger.SettingsPrefix, 3*hold, pause, ledger.Funcs{Listed: n.takeOption, Changed: n.takeOption})
 	go n.elector.Run(ctx)
+	go n.version.Announce(ctx, n.store, n.cfg.Label, 2*n.cfg.HoldTTL())
 	go n.readCatalog(ctx)
 	go n.heartbeat(ctx)
 	go n.load.watch(ctx, n.cfg.Grid(), n.cfg.HoldTTL()/8)
@@ -236,25 +237,6 @@
 	}
 }
 
-// raiseVersion raises the cluster version if this node leads and all members
-// understand a newer one. What counts is what each has said last: a node that is put
-// back to an older release says so with its next ping.
-func (n *Node) raiseVersion(ctx context.Context) {
-	lead := n.lead.Load()
-	if lead == nil || n.version.InForce() == clusterversion.Latest {
-		return
-	}
-	understood := make([]clusterversion.Version, 0, len(n.peers))
-	for _, p := range n.peers {
-		understood = append(understood, p.Understands())
-	}
-	ctx, cancel := context.WithTimeout(ctx, n.cfg.HoldTTL())
-	defer cancel()
-	if err := n.version.Raise(ctx, n.store, lead.Term(), understood); err != nil {
-		slog.Info("cluster version not raised", "err", err)
-	}
-}
-
 // Ping answers a peer.
 func (n *Node) Ping(a peer.PingArgs) peer.PingReply {
 	r := peer.PingReply{Term: n.elector.View().Term, Serving: n.serving(), Heard: n.keptLately(), Version: int(clusterversion.Latest)}
--- a/internal/api/users.go
+++ b/internal/api/users.go
@@ -32,9 +32,10 @@
 			return err
 		}
 		c.Set("body", body)
+		unserved := errElsewhere
 		if n.serving() {
-			if err := h(c); !errors.Is(err, errElsewhere) {
-				return err
+			if unserved = h(c); !errors.Is(unserved, errElsewhere) {
+				return unserved
 			}
 		}
 		if c.Get("passed") == nil {
@@ -53,7 +54,7 @@
 				}
 			}
 		}
-		return retryLater(c, errElsewhere.Error())
+		return retryLater(c, unserved.Error())
 	}
 }
 
--- a/internal/clusterversion/clusterversion.go
+++ b/internal/clusterversion/clusterversion.go
@@ -2,7 +2,7 @@
 // while releases of different age serve together.
 //
 // Every node says in its pings which version it understands; one that says nothing is
-// at First. The version in force is a record in the state service. The leader raises
+// at First. A node that the leader cannot reach is known by a record on a lease. The version in force is a record in the state service. The leader raises
 // it, and never lowers it, once every member has said that it understands the newer
 // one. Until then nothing is stored or sent that a node of the older release would
 // misread, lose or refuse.
@@ -80,8 +80,8 @@
 }
 
 // Raise brings the version that all members understand into force, in a commit that
-// only the leader of the term can make.
-func (t *Tracker) Raise(ctx context.Context, store Store, term uint64, understood []Version) error {
+// only the leader of the term can make, while what was read of members still holds.
+func (t *Tracker) Raise(ctx context.Context, store Store, term uint64, understood []Version, read ...wire.Guard) error {
 	to := Latest
 	for _, version := range understood {
 		to = min(to, version)
@@ -93,7 +93,7 @@
 		return nil
 	}
 	epoch, err := store.Commit(ctx, wire.Commit{
-		Guards: []wire.Guard{{Key: ledger.LeaderKey, Stamp: term}, {Key: ledger.VersionKey, Stamp: stamp}},
+		Guards: append([]wire.Guard{{Key: ledger.LeaderKey, Stamp: term}, {Key: ledger.VersionKey, Stamp: stamp}}, read...),
 		Apply:  []wire.Change{{Set: ledger.VersionKey, Value: ledger.Encode(ledger.ClusterVersion{Version: int(to)})}},
 	})
 	if err != nil {
--- /dev/null
+++ b/internal/clusterversion/presence.go
@@ -0,0 +1,88 @@
+package clusterversion
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/store"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// LeaseStore is what announcing a version needs of the state service.
+type LeaseStore interface {
+	Store
+	OpenHold(ctx context.Context, ttl time.Duration) (uint64, error)
+	TouchHold(ctx context.Context, permit uint64) error
+	CloseHold(ctx context.Context, permit uint64) error
+}
+
+// announceShare of the time to live of an announcement is how often it is renewed.
+const announceShare = 4
+
+// Announce says in the state service that a node understands the latest version, until
+// that is in force. A leader that cannot reach the node learns it from there. The record
+// hangs on a lease: it goes with the process, which may come back as an older release.
+func (t *Tracker) Announce(ctx context.Context, leases LeaseStore, label string, ttl time.Duration) {
+	ctx = store.Urgent(ctx)
+	// As a rule the leader learns it from pings before anything has to be written.
+	for t.waitForce(ctx, ttl) {
+		permit, err := leases.OpenHold(ctx, ttl)
+		if err == nil {
+			err = t.keepAnnounced(ctx, leases, label, permit, ttl)
+		}
+		if err != nil {
+			slog.Debug("version not announced", "err", err)
+		}
+	}
+}
+
+// keepAnnounced holds up the announcement on a lease until the version is in force or
+// the lease is lost.
+func (t *Tracker) keepAnnounced(ctx context.Context, leases LeaseStore, label string, permit uint64, ttl time.Duration) error {
+	_, err := leases.Commit(ctx, wire.Commit{Apply: []wire.Change{{
+		Set: ledger.ReleaseKey(label), Value: ledger.Encode(ledger.ClusterVersion{Version: int(Latest)}), Permit: permit,
+	}}})
+	for err == nil && t.waitForce(ctx, ttl/announceShare) {
+		err = leases.TouchHold(ctx, permit)
+	}
+	if err != nil {
+		return err
+	}
+	return leases.CloseHold(ctx, permit)
+}
+
+// waitForce waits for a while. It reports whether the latest version is still not in
+// force then.
+func (t *Tracker) waitForce(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return t.InForce() < Latest
+	}
+}
+
+// Announced reads which version a node announces, and the guard that it still does. A
+// node without an announcement is at First.
+func Announced(ctx context.Context, reader Reader, label string) (Version, wire.Guard, error) {
+	guard := wire.Guard{Key: ledger.ReleaseKey(label)}
+	item, found, err := reader.Get(ctx, guard.Key)
+	if err != nil || !found {
+		return First, guard, err
+	}
+	guard.Stamp = item.Stamp
+	var record ledger.ClusterVersion
+	if err := wire.Decode(item.Value, &record); err != nil {
+		return First, guard, err
+	}
+	return Normalize(record.Version), guard, nil
+}
+
+// Reader reads single records.
+type Reader interface {
+	Get(ctx context.Context, key string) (wire.Item, bool, error)
+}
--- a/internal/controller/limits.go
+++ b/internal/controller/limits.go
@@ -58,8 +58,8 @@
 	for _, write := range b.pieces {
 		jobs[write.p.job] = true
 	}
-	for _, j := range b.jobs {
-		jobs[j] = true
+	for _, write := range b.jobs {
+		jobs[write.job] = true
 	}
 	return jobs
 }
--- a/internal/controller/writer.go
+++ b/internal/controller/writer.go
@@ -19,8 +19,14 @@
 	tx     wire.Commit
 	note   bool // nothing waits for it
 	pieces []pieceWrite
-	jobs   []*job // archived, or marked final, by it
-	gone   []bool // whether the job is archived by it
+	jobs   []jobWrite
+}
+
+// jobWrite is a job's final status in a batch.
+type jobWrite struct {
+	job      *job
+	status   wire.JobStatus
+	archived bool // its record is dropped as well
 }
 
 type pieceWrite struct {
@@ -195,7 +201,7 @@
 			rec.Finish(status, c.Config.ValueBytes())
 			b.tx.Guards = append(b.tx.Guards, jobGuard)
 			b.tx.Apply = append(b.tx.Apply, wire.Change{Set: jobGuard.Key, Value: ledger.Encode(rec)})
-			b.jobs, b.gone = append(b.jobs, j), append(b.gone, false)
+			b.jobs = append(b.jobs, jobWrite{j, status, false})
 			return
 		}
 		for _, p := range j.pieces {
@@ -214,7 +220,7 @@
 			b.drop(p)
 		}
 	}
-	b.jobs, b.gone = append(b.jobs, j), append(b.gone, true)
+	b.jobs = append(b.jobs, jobWrite{j, status, true})
 }
 
 func (b *batch) drop(p *piece) {
@@ -285,10 +291,10 @@
 			c.fleet.Record(a, now)
 		}
 	}
-	for i, j := range b.jobs {
-		status := j.outcome()
-		c.finished(j.uid, status, now)
-		if b.gone[i] {
+	for _, w := range b.jobs {
+		j := w.job
+		c.finished(j.uid, w.status, now)
+		if w.archived {
 			slog.Info("job archived", "uid", j.uid)
 			if c.jobs[j.uid] == j {
 				c.dropJob(j, now)
@@ -296,7 +302,7 @@
 			continue
 		}
 		rec := *j.rec
-		rec.Status = status
+		rec.Status = w.status
 		j.rec, j.stamp = &rec, epoch
 	}
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -11,6 +11,7 @@
 //	k/<node>/<n>  machines whose leases a node keeps, cut off from the leader
 //	o/settings    the operators' own settings
 //	o/version     the cluster version: which formats of records are in use
+//	o/release/<node>  the version that a node understands, on a lease, until it is in force
 package ledger
 
 import (
@@ -36,6 +37,7 @@
 	SettingsPrefix = "o/"
 	SettingsKey    = "o/settings"
 	VersionKey     = "o/version"
+	ReleasePrefix  = "o/release/"
 )
 
 // Leader is the value of LeaderKey and TermKey.
@@ -103,6 +105,9 @@
 // FinalKey is the key of a job's final status.
 func FinalKey(uid string) string { return FinalPrefix + uid }
 
+// ReleaseKey is the key of the version that a node understands.
+func ReleaseKey(node string) string { return ReleasePrefix + node }
+
 // ImagesKey is the key of a machine's images.
 func ImagesKey(host string) string { return ImagesPrefix + host }
 
--- a/internal/standin/day_test.go
+++ b/internal/standin/day_test.go
@@ -119,7 +119,11 @@
 	cfg.Cluster.State.Next = d.next
 	l := labels[i]
 	ctx, cancel := context.WithCancel(context.Background())
-	n := api.New(cfg, api.Network{State: d.net.Port(l), Cloud: d.net.Port(l), Workers: d.net.Port(l), Mesh: d.net.Mesh(l + ":81")})
+	state := d.net.Port(l)
+	if d.old[i] {
+		state = silentRelease{state}
+	}
+	n := api.New(cfg, api.Network{State: state, Cloud: d.net.Port(l), Workers: d.net.Port(l), Mesh: d.net.Mesh(l + ":81")})
 	srv, err := peer.NewServer(release{Handler: n, d: d, node: i})
 	if err != nil {
 		d.t.Fatal(err)
--- a/internal/standin/pipelines_test.go
+++ b/internal/standin/pipelines_test.go
@@ -243,6 +243,34 @@
 	})
 }
 
+// A node that the leader cannot reach is upgraded all the same: the leader learns from
+// the state service that it is, and that it is no longer old from nowhere else.
+func TestVersionIsRaisedPastACut(t *testing.T) {
+	quiet(t)
+	synctest.Test(t, func(t *testing.T) {
+		d := newDay(t, 1, func(d *day) { d.old = [3]bool{true, true, true} })
+		d.w.AddMachines("g8", "a", 2)
+		time.Sleep(5 * time.Second)
+		first := stage(1, 1)
+		d.w.Upload(first)
+		d.expect(201, "n2", "POST", "/work", body(first))
+		for _, l := range labels[:2] {
+			d.net.Cut("n2:81", l+":81", true)
+		}
+		d.upgrade(0, time.Second)
+		d.upgrade(1, time.Second)
+		time.Sleep(20 * time.Second)
+		d.expect(503, "n0", "POST", "/work", body(stage(2, 1, first.UID)))
+		d.upgrade(2, time.Second)
+		time.Sleep(15 * time.Second)
+		d.expect(201, "n0", "POST", "/work", body(stage(2, 1, first.UID)))
+		if keys := d.w.State.Keys("o/release/"); len(keys) > 0 {
+			t.Errorf("left behind: %v", keys)
+		}
+		d.end()
+	})
+}
+
 // What needs a cancelled job is called cancelled by every node at once, whether anyone
 // can write it into the records or not: also without a leader, with the leader alone
 // refused by the state service, and after an outage of longer than cancel_s; also if it
--- a/internal/standin/release_test.go
+++ b/internal/standin/release_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"lotusstile.dev/lotusstile/internal/ledger"
 	"lotusstile.dev/lotusstile/internal/peer"
 )
 
@@ -80,3 +81,22 @@
 	}
 	return data
 }
+
+// silentRelease carries the requests of a node of the release before, which announces no
+// version in the state service.
+type silentRelease struct{ http.RoundTripper }
+
+// RoundTrip refuses to carry announcements.
+func (s silentRelease) RoundTrip(req *http.Request) (*http.Response, error) {
+	if req.Body != nil {
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return nil, err
+		}
+		req.Body = io.NopCloser(bytes.NewReader(body))
+		if bytes.Contains(body, []byte(ledger.ReleasePrefix)) {
+			return &http.Response{StatusCode: http.StatusServiceUnavailable, Body: http.NoBody, Request: req}, nil
+		}
+	}
+	return s.RoundTripper.RoundTrip(req)
+}
