A node without state service and peers leaves the balancer

Cause, from the incident inc-fdad: a node that is cut from the state service and from its peers answered its users 503 for as long as that lasted, since it could not ask anybody whether others serve. In an outage of the state service alone peers answer pings, so a node that none answers is itself cut off.

--- a/internal/api/http.go
+++ b/internal/api/http.go
@@ -121,10 +121,22 @@
 	if !n.mirror.Synced() || n.cat.Load() == nil {
 		return retryLater(c, "still catching up")
 	}
-	if n.store.ProofAge() > n.cfg.HoldTTL()*3/2 && n.elsewhere() {
+	if n.store.ProofAge() > n.cfg.HoldTTL()*3/2 && (n.elsewhere() || n.isolated()) {
 		return retryLater(c, errElsewhere.Error())
 	}
 	return c.NoContent(http.StatusOK)
 }
 
+// isolated reports whether no peer has answered lately. With the state service not
+// reached either, it is this node that is cut off: in an outage that all share, peers
+// answer.
+func (n *Node) isolated() bool {
+	for _, p := range n.peers {
+		if _, ok := p.Last(n.cfg.HoldTTL() * 3 / 2); ok {
+			return false
+		}
+	}
+	return len(n.peers) > 0
+}
+
 func encode(v any) []byte { return ledger.Encode(v) }
