--- /dev/null
+++ b/internal/api/cancel.go
@@ -0,0 +1,94 @@
+package api
+
+import (
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/peer"
+	"lotusstile.dev/lotusstile/internal/store"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// withdraw cancels a job, or says that it is done.
+func (n *Node) withdraw(c echo.Context) error {
+	uid := c.Param("id")
+	if !wire.ValidUID(uid) {
+		return echo.NewHTTPError(http.StatusNotFound, "no such job")
+	}
+	ctx, cancel := userContext(c, submitWait)
+	defer cancel()
+	for ctx.Err() == nil {
+		if s, ok := n.finals.get(uid); ok {
+			return c.JSON(http.StatusOK, wire.JobView{UID: uid, Status: s})
+		}
+		item, found, err := n.store.Get(ctx, ledger.JobKey(uid))
+		if err != nil {
+			return errElsewhere
+		}
+		if !found {
+			view, known, err := n.lookup(ctx, uid)
+			if err != nil {
+				return errElsewhere
+			}
+			if !known {
+				return echo.NewHTTPError(http.StatusNotFound, "no such job")
+			}
+			if view.Status.Final() {
+				return c.JSON(http.StatusOK, view)
+			}
+			continue
+		}
+		var rec ledger.Job
+		if err := json.Unmarshal(item.Value, &rec); err != nil {
+			return err
+		}
+		if rec.Status.Final() {
+			n.finals.put(uid, rec.Status)
+			continue
+		}
+		rec.Finish(wire.JobAborted, n.cfg.ValueBytes())
+		stamp, err := n.store.Commit(ctx, wire.Commit{
+			Guards: []wire.Guard{{Key: item.Key, Stamp: item.Stamp}},
+			Apply:  []wire.Change{{Set: item.Key, Value: ledger.Encode(rec)}},
+		})
+		var conflict *store.ConflictError
+		switch {
+		case err == nil:
+			n.tellWithdrawn(peer.WithdrawnArgs{UID: uid, Rec: rec, Stamp: stamp})
+		case errors.As(err, &conflict):
+		default:
+			slog.Info("withdrawal not recorded", "uid", uid, "err", err)
+			return notNow(c, err)
+		}
+	}
+	return retryLater(c, "cannot be decided now")
+}
+
+// tellWithdrawn spreads the word of a committed withdrawal, so that a leader that
+// the state service refuses, or whose watch is late, stops the tasks at once. No
+// rule rests on it: a peer that it does not reach learns of the withdrawal by
+// reading, or stops renewing leases.
+func (n *Node) tellWithdrawn(a peer.WithdrawnArgs) {
+	n.Withdrawn(a)
+	for _, p := range n.peers {
+		if _, ok := p.Last(n.cfg.HoldTTL()); !ok {
+			continue
+		}
+		go func() {
+			if err := p.Withdrawn(a); err != nil {
+				slog.Debug("peer not told of a withdrawal", "peer", p.Label, "uid", a.UID, "err", err)
+			}
+		}()
+	}
+}
+
+// Withdrawn takes word of a committed withdrawal.
+func (n *Node) Withdrawn(a peer.WithdrawnArgs) {
+	n.finals.put(a.UID, a.Rec.Status)
+	n.mirror.Hint(a.UID, a.Rec, a.Stamp)
+}
