--- a/internal/standin/pipelines_test.go
+++ b/internal/standin/pipelines_test.go
@@ -142,6 +142,43 @@
 	}
 }
 
+// One-task pipelines come several a second. Their second stages are submitted in the
+// milliseconds around the end, the cancellation or the archiving of the first, with close
+// looks at every answer.
+func TestSuccessorsAroundTheEndOfAJob(t *testing.T) {
+	inDay(t, func(d *day) {
+		d.w.CloseLooks = true
+		r := rand.New(rand.NewPCG(7, 7))
+		deadline := time.Now().Add(2 * time.Minute)
+		var users sync.WaitGroup
+		for i := range 100 {
+			first := stage(100+2*i, 1)
+			first.ExpectS = 1
+			second := stage(101+2*i, 1, first.UID)
+			at, gap, cancelled := time.Duration(i)*250*time.Millisecond, time.Duration(r.IntN(8000))*time.Millisecond, r.IntN(4) == 0
+			users.Add(1)
+			go func() {
+				defer users.Done()
+				time.Sleep(at)
+				if !d.w.SubmitUntil(first, deadline) {
+					return
+				}
+				if cancelled {
+					time.AfterFunc(gap-time.Duration(i%5)*time.Millisecond, func() { d.w.Withdraw(labels[i%3], first.UID) })
+				}
+				time.Sleep(gap)
+				if d.w.SubmitUntil(second, deadline) {
+					d.w.Follow(second, 0, deadline)
+				}
+			}()
+		}
+		users.Wait()
+		if b := d.w.Broken(); len(b) > 0 {
+			t.Errorf("%d rules broken:\n%s", len(b), strings.Join(b[:min(10, len(b))], "\n"))
+		}
+	})
+}
+
 // body is a submission in JSON.
 func body(spec wire.Work) string { return string(mustJSON(spec)) }
 
