--- a/internal/api/admin.go
+++ b/internal/api/admin.go
@@ -31,6 +31,8 @@
 	gauge("lotusstile_term", func() float64 { return float64(n.elector.View().Term) })
 	gauge("lotusstile_lag_seconds", func() float64 { return time.Duration(n.load.lag.Load()).Seconds() })
 	gauge("lotusstile_state_proof_seconds", func() float64 { return min(n.store.ProofAge(), time.Hour).Seconds() })
+	gauge("lotusstile_cluster_version", func() float64 { return float64(n.version.InForce()) })
+	gauge("lotusstile_rejected_commits_total", func() float64 { return float64(n.store.Rejections()) })
 	gauge("lotusstile_knowledge_seconds", func() float64 { return min(time.Since(n.mirror.Fresh()), time.Hour).Seconds() })
 }
 
--- /dev/null
+++ b/internal/api/dependencies.go
@@ -0,0 +1,156 @@
+package api
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"lotusstile.dev/lotusstile/internal/clusterversion"
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// dependencyError tells why a submission can never run for a job that it names.
+type dependencyError struct {
+	UID string
+	Why string
+}
+
+func (e *dependencyError) Error() string { return fmt.Sprintf("Awaits names %s, %s", e.UID, e.Why) }
+
+// errInconsistent means that a job which was accepted has neither a record nor a final
+// status that this node can see.
+var errInconsistent = errors.New("a job that others wait for is not found")
+
+// initialStatus is the status that a new job's record is made with: cancelled if a job
+// that it names is, also by way of others. Its error is a *dependencyError if the job
+// can never run, or another one if that cannot be decided now.
+//
+// All is decided on a read that began after the request. What happens to the named
+// jobs between that read and the commit is not lost: readers derive a job's status
+// from the records of those that it needs, each time (see dependencyCancelled).
+func (n *Node) initialStatus(ctx context.Context, work *wire.Work) (wire.JobStatus, error) {
+	if len(work.Awaits) == 0 {
+		return wire.JobQueued, nil
+	}
+	if n.version.InForce() < clusterversion.Pipelines {
+		return "", errElsewhere // a node of the older release would start it at once
+	}
+	if err := n.refresher.Refresh(ctx); err != nil {
+		return "", err
+	}
+	for _, uid := range work.Awaits {
+		if err := n.checkDependency(ctx, work.UID, uid); err != nil {
+			return "", err
+		}
+	}
+	cancelled, err := n.dependencyCancelled(ctx, work.Awaits, map[string]bool{})
+	switch {
+	case err != nil:
+		return "", err
+	case cancelled:
+		return wire.JobAborted, nil
+	}
+	return wire.JobQueued, nil
+}
+
+// checkDependency checks that a job may wait for another one.
+func (n *Node) checkDependency(ctx context.Context, uid, dependency string) error {
+	if uid == dependency {
+		return &dependencyError{dependency, "which is the job itself"}
+	}
+	if entry, ok := n.mirror.Job(dependency); ok {
+		if entry.Job.Spec.Shape == wire.Standing {
+			return &dependencyError{dependency, "which is a service and never done"}
+		}
+		return nil
+	}
+	if _, ok := n.finals.get(dependency); ok {
+		return nil
+	}
+	switch _, found, err := n.readFinal(ctx, dependency); {
+	case err != nil:
+		return err
+	case !found:
+		return &dependencyError{dependency, "which was never accepted"}
+	}
+	return nil
+}
+
+// dependencyCancelled reports whether one of the named jobs, or one that they need in
+// turn, is cancelled, as of the last read of the jobs. It follows from records alone,
+// whether anyone has written it into the records of those that wait or not. A job that
+// is done cannot be cancelled any more, so nothing before it matters.
+func (n *Node) dependencyCancelled(ctx context.Context, awaits []string, seen map[string]bool) (bool, error) {
+	for _, uid := range awaits {
+		if seen[uid] {
+			continue
+		}
+		seen[uid] = true
+		status, needs, err := n.dependency(ctx, uid)
+		switch {
+		case err != nil:
+			return false, err
+		case status == wire.JobAborted:
+			return true, nil
+		case status == wire.JobDone:
+			continue
+		}
+		if cancelled, err := n.dependencyCancelled(ctx, needs, seen); cancelled || err != nil {
+			return cancelled, err
+		}
+	}
+	return false, nil
+}
+
+// dependency tells a job's own status and what it needs.
+func (n *Node) dependency(ctx context.Context, uid string) (wire.JobStatus, []string, error) {
+	if status, ok := n.finals.get(uid); ok {
+		return status, nil, nil
+	}
+	if entry, ok := n.mirror.Job(uid); ok {
+		return entry.Job.Status, entry.Job.Spec.Awaits, nil
+	}
+	// Its record is gone, and its final status was written with that.
+	view, found, err := n.readFinal(ctx, uid)
+	switch {
+	case err != nil:
+		return "", nil, err
+	case !found:
+		return "", nil, errInconsistent
+	}
+	return view.Status, nil, nil
+}
+
+// refuseDependency answers a submission whose status could not be told.
+func (n *Node) refuseDependency(c echo.Context, uid string, err error) error {
+	var never *dependencyError
+	if errors.As(err, &never) {
+		return n.refuse(c, uid, http.StatusUnprocessableEntity, never.Error())
+	}
+	return errElsewhere
+}
+
+// understands reports whether a peer that a user's request would be passed to reads it
+// as this node does.
+func understands(version clusterversion.Version, method, path string, body []byte) bool {
+	if method != http.MethodPost || path != submitPath || version >= clusterversion.Pipelines {
+		return true
+	}
+	return !wire.HasAwaits(body)
+}
+
+// tooLong tells how much of a job's description can be stored.
+func tooLong(work *wire.Work, size, most int) string {
+	if len(work.Awaits) == 0 {
+		return fmt.Sprintf("the description is too long: it takes %d bytes of at most %d", size, most)
+	}
+	without := *work
+	without.Awaits = nil
+	perID := len(ledger.Encode(work.Awaits[0])) + 1
+	room := max(0, (most-size+len(ledger.Encode(work))-len(ledger.Encode(without)))/perID)
+	return fmt.Sprintf("the description is too long: it takes %d bytes of at most %d; Awaits may name about %d jobs beside the rest", size, most, room)
+}
--- a/internal/api/http.go
+++ b/internal/api/http.go
@@ -21,6 +21,9 @@
 // Handler answers users, workers and health checks.
 func (n *Node) Handler() http.Handler { return n.echo }
 
+// submitPath is where jobs are submitted.
+const submitPath = "/work"
+
 func (n *Node) routes() *echo.Echo {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
@@ -43,7 +46,7 @@
 		}
 	}
 	e.POST("/checkin", n.checkIn)
-	e.POST("/work", n.user(n.submit))
+	e.POST(submitPath, n.user(n.submit))
 	e.GET("/work/:id", n.user(n.poll))
 	e.POST("/work/:id/withdraw", n.user(n.withdraw))
 	e.GET("/ready", n.ready)
--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -17,6 +17,7 @@
 	"github.com/labstack/echo/v4"
 
 	"lotusstile.dev/lotusstile/internal/cloud"
+	"lotusstile.dev/lotusstile/internal/clusterversion"
 	"lotusstile.dev/lotusstile/internal/config"
 	"lotusstile.dev/lotusstile/internal/controller"
 	"lotusstile.dev/lotusstile/internal/election"
@@ -47,6 +48,7 @@
 	settings atomic.Pointer[wire.Settings]
 	finals   finals
 	counts   taskCounts
+	version  *clusterversion.Tracker
 
 	mu       sync.Mutex
 	contacts map[string]contact   // by machine: how it was answered in the leader's place
@@ -79,7 +81,7 @@
 // New makes a node.
 func New(cfg *config.Config, nw Network) *Node {
 	timeout := cfg.Lease() / 5
-	st := cfg.Cluster.State
+	st := cfg.StateLimits()
 	n := &Node{
 		cfg:      cfg,
 		store:    store.New(cfg.Services.State, st.Rps, st.WriteRps, timeout, nw.State),
@@ -88,6 +90,7 @@
 		peers:    peer.Peers(cfg, cfg.HoldTTL()/4, nw.Mesh),
 		contacts: map[string]contact{},
 		kept:     map[string]time.Time{},
+		version:  clusterversion.NewTracker(),
 		workers:  &http.Client{Timeout: cfg.ReportEvery(), Transport: nw.Workers},
 	}
 	n.refresher = ledger.NewRefresher(n.mirror, n.store, timeout)
@@ -138,7 +141,7 @@
 func (n *Node) Start(ctx context.Context) {
 	hold, pause := n.cfg.Lease(), n.cfg.HoldTTL()/8
 	go n.mirror.Run(ctx, n.store, hold, pause)
-	go ledger.Follow(ctx, n.store, ledger.SettingsPrefix, 3*hold, pause, ledger.Funcs{Listed: n.takeSettings, Changed: n.takeSettings})
+	go ledger.Follow(ctx, n.store, ledger.SettingsPrefix, 3*hold, pause, ledger.Funcs{Listed: n.takeOption, Changed: n.takeOption})
 	go n.elector.Run(ctx)
 	go n.readCatalog(ctx)
 	go n.heartbeat(ctx)
@@ -158,7 +161,8 @@
 func (n *Node) leadTerm(ctx context.Context, term uint64) {
 	c := controller.New(controller.Deps{Config: n.cfg, Store: n.store, Cloud: n.cloud, Worker: n, Mirror: n.mirror,
 		Settings: func() wire.Settings { return *n.settings.Load() }, Rounded: n.rounded,
-		Saw: func(t uint64) { n.elector.Saw(t, "") }, Heard: n.heard, Reached: n.reached}, term)
+		Version: n.version,
+		Saw:     func(t uint64) { n.elector.Saw(t, "") }, Heard: n.heard, Reached: n.reached}, term)
 	n.lead.Store(c)
 	defer n.lead.Store(nil)
 	c.Run(ctx)
@@ -176,6 +180,12 @@
 	})
 }
 
+// takeOption takes a record of what holds for all nodes.
+func (n *Node) takeOption(news wire.News) {
+	n.version.Take(news)
+	n.takeSettings(news)
+}
+
 // takeSettings takes the operators' own settings from the state service.
 func (n *Node) takeSettings(ch wire.News) {
 	if ch.Set != ledger.SettingsKey || ch.Stamp <= n.settings.Load().Stamp {
@@ -213,7 +223,7 @@
 // ping keeps in touch with a peer.
 func (n *Node) ping(ctx context.Context, p *peer.Peer) {
 	for ctx.Err() == nil {
-		args := peer.PingArgs{From: n.cfg.Label, Term: n.elector.View().Term}
+		args := peer.PingArgs{From: n.cfg.Label, Term: n.elector.View().Term, Version: int(clusterversion.Latest)}
 		args.CountsTerm, args.CountsRevision = n.counts.known(p.Label)
 		if r, err := p.Ping(args); err != nil {
 			slog.Debug("peer not reached", "peer", p.Label, "err", err)
@@ -221,13 +231,33 @@
 			n.counts.update(p.Label, args, r, n.mirror)
 			n.elector.Saw(r.Term, p.Label)
 		}
+		n.raiseVersion(ctx)
 		time.Sleep(n.cfg.Grid().Next(time.Now(), n.cfg.HoldTTL()/4))
 	}
 }
 
+// raiseVersion raises the cluster version if this node leads and all members
+// understand a newer one. What counts is what each has said last: a node that is put
+// back to an older release says so with its next ping.
+func (n *Node) raiseVersion(ctx context.Context) {
+	lead := n.lead.Load()
+	if lead == nil || n.version.InForce() == clusterversion.Latest {
+		return
+	}
+	understood := make([]clusterversion.Version, 0, len(n.peers))
+	for _, p := range n.peers {
+		understood = append(understood, p.Understands())
+	}
+	ctx, cancel := context.WithTimeout(ctx, n.cfg.HoldTTL())
+	defer cancel()
+	if err := n.version.Raise(ctx, n.store, lead.Term(), understood); err != nil {
+		slog.Info("cluster version not raised", "err", err)
+	}
+}
+
 // Ping answers a peer.
 func (n *Node) Ping(a peer.PingArgs) peer.PingReply {
-	r := peer.PingReply{Term: n.elector.View().Term, Serving: n.serving(), Heard: n.keptLately()}
+	r := peer.PingReply{Term: n.elector.View().Term, Serving: n.serving(), Heard: n.keptLately(), Version: int(clusterversion.Latest)}
 	if c := n.lead.Load(); c != nil {
 		r.Leading, r.Term = true, c.Term()
 		if a.Term > c.Term() {
--- a/internal/api/reports.go
+++ b/internal/api/reports.go
@@ -211,7 +211,7 @@
 			continue
 		}
 		for i := 0; len(ids) > 0; i++ {
-			part := ledger.FitHosts(ids, n.cfg.ValueBytes())
+			part := ledger.FitNames(ids, n.cfg.ValueBytes())
 			ids = ids[len(part):]
 			key := fmt.Sprintf("%s%s/%d", ledger.KeptPrefix, n.cfg.Label, i)
 			if _, err := n.store.Commit(store.User(ctx, 0), wire.Commit{Apply: []wire.Change{{Set: key, Value: ledger.Encode(ledger.Kept{Hosts: part})}}}); err != nil {
--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -26,7 +26,8 @@
 		return wire.JobView{}, false, err
 	}
 	if e, ok := n.mirror.Job(uid); ok {
-		return n.viewOf(uid, e.Job), true, nil
+		view, err := n.viewOf(ctx, uid, e.Job)
+		return view, err == nil, err
 	}
 	// It is archived, as a rule. If it is not, it was never accepted, or its record
 	// is not in the copy for a reason that only the records themselves tell.
@@ -56,23 +57,42 @@
 	if err := wire.Decode(item.Value, &rec); err != nil {
 		return view, false, err
 	}
-	return n.viewOf(uid, &rec), true, nil
+	if len(rec.Spec.Awaits) > 0 && !rec.Status.Final() {
+		// The jobs that it needs are looked up in this node's copy.
+		if err := n.refresher.Refresh(ctx); err != nil {
+			return view, false, err
+		}
+	}
+	view, err = n.viewOf(ctx, uid, &rec)
+	return view, err == nil, err
 }
 
-// viewOf makes the answer for a job whose record was read after the question.
-func (n *Node) viewOf(uid string, rec *ledger.Job) wire.JobView {
+// viewOf makes the answer for a job whose record was read after the question, as was
+// this node's copy of the jobs if it waits for others. A job that needs a cancelled one
+// is cancelled from then on, and stays so: it has no task, and its record can only
+// become that of a cancelled job.
+func (n *Node) viewOf(ctx context.Context, uid string, rec *ledger.Job) (wire.JobView, error) {
 	view := wire.JobView{UID: uid, Status: rec.Status}
-	if rec.Status.Final() {
-		n.finals.put(uid, rec.Status)
-		return view
+	if !rec.Status.Final() {
+		cancelled, err := n.dependencyCancelled(ctx, rec.Spec.Awaits, map[string]bool{})
+		if err != nil {
+			return view, err
+		}
+		if cancelled {
+			view.Status = wire.JobAborted
+		}
+	}
+	if view.Status.Final() {
+		n.finals.put(uid, view.Status)
+		return view, nil
 	}
 	n.addCounts(&view)
 	// Reading and counting take time: a final status that was told meanwhile,
 	// here or at a peer, is not answered with something older.
 	if s, ok := n.finals.get(uid); ok {
-		return wire.JobView{UID: uid, Status: s}
+		return wire.JobView{UID: uid, Status: s}, nil
 	}
-	return view
+	return view, nil
 }
 
 // readFinal reads the final status of an archived job.
--- a/internal/api/users.go
+++ b/internal/api/users.go
@@ -40,15 +40,16 @@
 		if c.Get("passed") == nil {
 			req := c.Request()
 			for _, p := range n.peers {
-				if r, ok := p.Last(n.cfg.HoldTTL()); !ok || !r.Serving {
+				r, ok := p.Last(n.cfg.HoldTTL())
+				if !ok || !r.Serving || !understands(p.Understands(), req.Method, req.URL.Path, body) {
 					continue
 				}
-				r, err := p.User(peer.UserArgs{Method: req.Method, Path: req.URL.Path, Body: body}, pollWait*2/3)
-				if err == nil && r.Status != 0 {
-					if r.RetryAfter != "" {
-						c.Response().Header().Set(echo.HeaderRetryAfter, r.RetryAfter)
+				reply, err := p.User(peer.UserArgs{Method: req.Method, Path: req.URL.Path, Body: body}, pollWait*2/3)
+				if err == nil && reply.Status != 0 {
+					if reply.RetryAfter != "" {
+						c.Response().Header().Set(echo.HeaderRetryAfter, reply.RetryAfter)
 					}
-					return c.JSONBlob(r.Status, r.Body)
+					return c.JSONBlob(reply.Status, reply.Body)
 				}
 			}
 		}
@@ -140,10 +141,14 @@
 	}
 	ctx, cancel := userContext(c, submitWait)
 	defer cancel()
-	rec := ledger.Job{Spec: w, Status: wire.JobQueued, AtMs: time.Now().UnixMilli(), Per: ledger.LegsPerPiece(n.cfg.ValueBytes())}
+	status, err := n.initialStatus(ctx, &w)
+	if err != nil {
+		return n.refuseDependency(c, w.UID, err)
+	}
+	rec := ledger.Job{Spec: w, Status: status, AtMs: time.Now().UnixMilli(), Per: ledger.LegsPerPiece(n.cfg.CurrentValueBytes(), n.cfg.ValueBytes())}
 	value := ledger.Encode(rec)
 	if len(value) > n.cfg.ValueBytes() {
-		return echo.NewHTTPError(http.StatusBadRequest, "the description is too long")
+		return n.refuse(c, w.UID, http.StatusBadRequest, tooLong(&w, len(value), n.cfg.ValueBytes()))
 	}
 	// When many come at once, those of higher rank are taken first: each rank
 	// leaves a quarter of the budget to each rank above it.
@@ -173,7 +178,10 @@
 		slog.Info("submission not recorded", "uid", w.UID, "err", err)
 		return notNow(c, err)
 	}
-	return c.JSON(http.StatusCreated, wire.JobView{UID: w.UID, Status: wire.JobQueued})
+	if status.Final() {
+		n.finals.put(w.UID, status)
+	}
+	return c.JSON(http.StatusCreated, wire.JobView{UID: w.UID, Status: status})
 }
 
 // refuse answers a submission that is not taken, unless the job is known already:
@@ -264,7 +272,7 @@
 			n.finals.put(uid, rec.Status)
 			continue
 		}
-		rec.Status = wire.JobAborted
+		rec.Finish(wire.JobAborted, n.cfg.ValueBytes())
 		stamp, err := n.store.Commit(ctx, wire.Commit{
 			Guards: []wire.Guard{{Key: item.Key, Stamp: item.Stamp}},
 			Apply:  []wire.Change{{Set: item.Key, Value: ledger.Encode(rec)}},
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -40,6 +40,24 @@
 	Share   float64 `toml:"share"`
 }
 
+// StateLimits is what the state service allows.
+type StateLimits struct {
+	Rps      float64 `toml:"rps"`
+	WriteRps float64 `toml:"write_rps"`
+	ValueKb  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+	// Next holds the limits that the service will have from some moment on, without
+	// notice; nil if no change is expected.
+	Next *NextStateLimits `toml:"next"`
+}
+
+// NextStateLimits is what the state service will allow. What is absent does not change.
+type NextStateLimits struct {
+	WriteRps *float64 `toml:"write_rps"`
+	ValueKb  *float64 `toml:"value_kb"`
+	TxnOps   *int     `toml:"txn_ops"`
+}
+
 // Config is the whole settings file.
 type Config struct {
 	Label    string   `toml:"label"`
@@ -62,12 +80,7 @@
 			LeaseS  float64 `toml:"lease_s"`
 			CancelS float64 `toml:"cancel_s"`
 		} `toml:"workers"`
-		State struct {
-			Rps      float64 `toml:"rps"`
-			WriteRps float64 `toml:"write_rps"`
-			ValueKb  float64 `toml:"value_kb"`
-			TxnOps   int     `toml:"txn_ops"`
-		} `toml:"state"`
+		State StateLimits `toml:"state"`
 		Cloud struct {
 			Rps      float64 `toml:"rps"`
 			ListLagS float64 `toml:"list_lag_s"`
@@ -101,6 +114,14 @@
 	return &c, nil
 }
 
+// The least that the service can work with: a commit of the writer has up to four
+// changes, and a kibibyte holds a job's record with names of usual length.
+const (
+	minTxnOps       = 4
+	minNextWriteRps = 1
+	minNextValueKb  = 1
+)
+
 func (c *Config) check() error {
 	var faults []error
 	fault := func(bad bool, format string, args ...any) {
@@ -138,7 +159,12 @@
 	positive("cluster.state.rps", cl.State.Rps)
 	positive("cluster.state.write_rps", cl.State.WriteRps)
 	positive("cluster.state.value_kb", cl.State.ValueKb)
-	fault(cl.State.TxnOps < 4, "cluster.state.txn_ops must be at least 4")
+	fault(cl.State.TxnOps < minTxnOps, "cluster.state.txn_ops must be at least %d", minTxnOps)
+	if next := cl.State.Next; next != nil {
+		fault(next.WriteRps != nil && !(*next.WriteRps >= minNextWriteRps), "cluster.state.next.write_rps must be at least %d", minNextWriteRps)
+		fault(next.ValueKb != nil && !(*next.ValueKb >= minNextValueKb), "cluster.state.next.value_kb must be at least %d", minNextValueKb)
+		fault(next.TxnOps != nil && *next.TxnOps < minTxnOps, "cluster.state.next.txn_ops must be at least %d", minTxnOps)
+	}
 	positive("cluster.cloud.rps", cl.Cloud.Rps)
 	positive("cluster.machine_limits.cores", cl.Limits.Cores)
 	positive("cluster.machine_limits.mem_mb", cl.Limits.MemMb)
@@ -221,5 +247,32 @@
 	return hops(label) - best
 }
 
+// StateLimits is what may be asked of the state service: the smaller of each limit and
+// the one that is announced. The lower ones come into force without notice, so nothing
+// is ever written that they would not allow.
+func (c *Config) StateLimits() StateLimits {
+	limits := c.Cluster.State
+	next := limits.Next
+	if next == nil {
+		return limits
+	}
+	if next.WriteRps != nil {
+		limits.WriteRps = min(limits.WriteRps, *next.WriteRps)
+	}
+	if next.ValueKb != nil {
+		limits.ValueKb = min(limits.ValueKb, *next.ValueKb)
+	}
+	if next.TxnOps != nil {
+		limits.TxnOps = min(limits.TxnOps, *next.TxnOps)
+	}
+	return limits
+}
+
 // ValueBytes is the largest value that the project writes.
-func (c *Config) ValueBytes() int { return int(c.Cluster.State.ValueKb * 1024) }
+func (c *Config) ValueBytes() int { return int(c.StateLimits().ValueKb * bytesPerKb) }
+
+// CurrentValueBytes is the largest value that the state service takes until the
+// announced limits are in force.
+func (c *Config) CurrentValueBytes() int { return int(c.Cluster.State.ValueKb * bytesPerKb) }
+
+const bytesPerKb = 1024
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -11,9 +11,11 @@
 	"sync"
 	"time"
 
+	"lotusstile.dev/lotusstile/internal/clusterversion"
 	"lotusstile.dev/lotusstile/internal/config"
 	"lotusstile.dev/lotusstile/internal/fleet"
 	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/pipeline"
 	"lotusstile.dev/lotusstile/internal/provision"
 	"lotusstile.dev/lotusstile/internal/store"
 	"lotusstile.dev/lotusstile/wire"
@@ -41,6 +43,11 @@
 	Announce(ctx context.Context, address string, baton, shift uint64) (wire.Report, error)
 }
 
+// VersionTracker tells which formats of records are in use.
+type VersionTracker interface {
+	InForce() clusterversion.Version
+}
+
 // Deps is what a controller works with.
 type Deps struct {
 	Config   *config.Config
@@ -48,6 +55,7 @@
 	Cloud    Cloud
 	Worker   Worker
 	Mirror   *ledger.Mirror
+	Version  VersionTracker
 	Settings func() wire.Settings
 	Saw      func(term uint64)   // a newer term was seen
 	Heard    func() []string     // machines that peers answer
@@ -62,6 +70,7 @@
 	wake        chan struct{} // the writer has work
 	news        chan struct{} // there is something to place
 	returnsWake chan struct{} // there is something to return
+	resolveWake chan struct{} // a job waits for one whose final status is not known
 	now         func() time.Time
 
 	mu             sync.Mutex
@@ -70,6 +79,7 @@
 	begun          time.Time
 	fleet          *fleet.Fleet
 	jobs           map[string]*job
+	graph          *pipeline.Graph
 	cat            *wire.Catalog
 	rents          int // counter in booking names
 	pending        map[string]*rental
@@ -88,13 +98,15 @@
 	last           wire.RoundStatus
 	lastAt         time.Time
 	steady         time.Time
-	answersPaused  bool // no reports are answered: no machine is declared lost for its silence
+	singlesUntil   time.Time // until when jobs are written one by one
+	answersPaused  bool      // no reports are answered: no machine is declared lost for its silence
 }
 
 // New makes the controller of a term.
 func New(d Deps, term uint64) *Controller {
-	c := &Controller{Deps: d, term: term, wake: make(chan struct{}, 1), news: make(chan struct{}, 1), returnsWake: make(chan struct{}, 1), now: time.Now,
-		jobs: map[string]*job{}, pending: map[string]*rental{}, refused: map[provision.Group]refusal{},
+	c := &Controller{Deps: d, term: term, wake: make(chan struct{}, 1), news: make(chan struct{}, 1), returnsWake: make(chan struct{}, 1),
+		resolveWake: make(chan struct{}, 1), now: time.Now,
+		jobs: map[string]*job{}, graph: pipeline.New(), pending: map[string]*rental{}, refused: map[provision.Group]refusal{},
 		arrive: map[string]*arrivals{}, cutOff: map[string]time.Time{}, noted: map[string]imageNote{}, announced: map[string]time.Time{}, waitingAnswers: map[string]chan struct{}{}}
 	c.fleet = fleet.New(term, d.Config.Lease(), c)
 	c.returns = map[string]*pendingReturn{}
@@ -131,7 +143,7 @@
 		}
 	}
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){c.writer, c.rounds, c.lists, c.returning, c.announcing, c.noteImages, c.followKeptLeases} {
+	for _, f := range []func(context.Context){c.writer, c.rounds, c.lists, c.returning, c.announcing, c.noteImages, c.followKeptLeases, c.resolving} {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
--- /dev/null
+++ b/internal/controller/dependencies.go
@@ -0,0 +1,145 @@
+package controller
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/pipeline"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// runAllowance is by how much a task is taken to run longer than its owner expects
+// where a deadline is worked back from.
+const runAllowance = 1.5
+
+// addToGraph takes a job that is new here into the graph of dependencies. A job is
+// released only on positive evidence that the end of each job that it needs is
+// committed: the leader has seen the record that says so, has committed it itself, or
+// has read the final status. That a job is not among those that are known proves
+// nothing.
+func (c *Controller) addToGraph(j *job, now time.Time) {
+	spec := &j.rec.Spec
+	vertex := pipeline.Job{Awaits: spec.Awaits, Level: j.level, DueMs: math.Inf(1), RunMs: c.stageMs(spec)}
+	if spec.DueS != nil {
+		vertex.DueMs = float64(j.rec.AtMs) + *spec.DueS*1000
+	}
+	effects := c.graph.Add(j.uid, vertex)
+	j.level, j.dueMs = c.graph.Urgency(j.uid)
+	c.applyEffects(effects, now)
+	if j.rec.Status.Final() {
+		c.finished(j.uid, j.rec.Status, now)
+	}
+	if c.graph.Ready(j.uid) {
+		c.release(j, now)
+	}
+}
+
+// stageMs is how long a job is expected to hold up those that need it.
+func (c *Controller) stageMs(spec *wire.Work) float64 {
+	return 1000 * (runAllowance*spec.ExpectS + 2*c.Config.Cluster.Workers.ReportS)
+}
+
+// finished notes that a job's final status is committed.
+func (c *Controller) finished(uid string, status wire.JobStatus, now time.Time) {
+	state := pipeline.Done
+	if status == wire.JobAborted {
+		state = pipeline.Cancelled
+	}
+	c.applyEffects(c.graph.Finish(uid, state), now)
+}
+
+// archived notes that a job's record is gone.
+func (c *Controller) archived(uid string) {
+	c.graph.Archive(uid)
+	c.wakeResolver()
+}
+
+// wakeResolver lets final statuses be read if there are any to read.
+func (c *Controller) wakeResolver() {
+	if c.graph.HasUnresolved() {
+		notify(c.resolveWake)
+	}
+}
+
+// applyEffects takes what a change of the graph means into the jobs.
+func (c *Controller) applyEffects(effects pipeline.Effects, now time.Time) {
+	for _, uid := range effects.Urgency {
+		if j := c.jobs[uid]; j != nil {
+			j.level, j.dueMs = c.graph.Urgency(uid)
+		}
+	}
+	for _, uid := range effects.Released {
+		if j := c.jobs[uid]; j != nil {
+			c.release(j, now)
+		}
+	}
+	for _, uid := range effects.Cancelled {
+		if j := c.jobs[uid]; j != nil {
+			slog.Info("job cancelled with one that it needs", "uid", uid)
+			j.cancelled = true
+			c.wakeWriter()
+		}
+	}
+	c.wakeResolver()
+}
+
+// release lets a job be placed.
+func (c *Controller) release(j *job, now time.Time) {
+	if j.released || j.rec.Status.Final() {
+		return
+	}
+	j.released = true
+	if len(j.rec.Spec.Awaits) > 0 {
+		// What its users expect of it counts from now, but for its deadline.
+		j.fromMs = now.UnixMilli()
+		j.waitFrom = now
+		slog.Info("job released", "uid", j.uid)
+	}
+	c.arrived(j, now)
+	notify(c.news)
+}
+
+// resolving reads what became of jobs that others wait for and that are archived.
+func (c *Controller) resolving(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.resolveWake:
+		}
+		for !c.resolve(ctx) {
+			if !sleep(ctx, c.untilNext(c.Config.ReportEvery()/3)) {
+				return
+			}
+		}
+	}
+}
+
+// resolve reads the final statuses that are asked for. It reports whether all were
+// found.
+func (c *Controller) resolve(ctx context.Context) bool {
+	c.mu.Lock()
+	uids := c.graph.Unresolved()
+	c.mu.Unlock()
+	complete := true
+	for _, uid := range uids {
+		item, found, err := c.Store.Get(ctx, ledger.FinalKey(uid))
+		if err != nil || !found {
+			slog.Debug("final status not read", "uid", uid, "err", err)
+			complete = false
+			continue
+		}
+		var record ledger.Final
+		if err := wire.Decode(item.Value, &record); err != nil {
+			slog.Error("final status cannot be read", "uid", uid, "err", err)
+			continue
+		}
+		c.mu.Lock()
+		c.finished(uid, record.Status, c.now())
+		c.mu.Unlock()
+	}
+	return complete
+}
--- a/internal/controller/events.go
+++ b/internal/controller/events.go
@@ -26,10 +26,10 @@
 			c.dropJob(j, now)
 		}
 	case j == nil:
-		c.jobs[uid] = newJob(uid, e, now)
+		j = newJob(uid, e, now)
+		c.jobs[uid] = j
 		slog.Info("job", "uid", uid, "berth", e.Job.Spec.Berth, "legs", e.Job.Spec.Legs, "gpus", e.Job.Spec.Gpus, "image", e.Job.Spec.Rollout, "status", string(e.Job.Status))
-		c.arrived(c.jobs[uid], now)
-		notify(c.news)
+		c.addToGraph(j, now)
 	case e.Stamp > j.stamp:
 		wasFinal := j.rec.Status.Final()
 		j.rec, j.stamp = e.Job, e.Stamp
@@ -38,12 +38,16 @@
 			j.each(func(a *fleet.Attempt) { c.stop(a, 0, now, "withdrawn") })
 			c.wakeWriter()
 		}
+		if !wasFinal && e.Job.Status.Final() {
+			c.finished(uid, e.Job.Status, now)
+		}
 	}
 }
 
 // dropJob forgets a job that is archived.
 func (c *Controller) dropJob(j *job, now time.Time) {
 	delete(c.jobs, j.uid)
+	c.archived(j.uid)
 	j.each(func(a *fleet.Attempt) { c.stop(a, 0, now, "job is archived") })
 	for _, p := range j.pieces {
 		for _, a := range p.ended {
--- a/internal/controller/images.go
+++ b/internal/controller/images.go
@@ -18,6 +18,9 @@
 	at     time.Time
 }
 
+// maxNotedImages is how many images of a machine are recorded at most.
+const maxNotedImages = 16
+
 // noteImages records which images machines have, so that a new leader knows
 // where starts are quick. It loses nothing but time if it is late or fails.
 func (c *Controller) noteImages(ctx context.Context) {
@@ -26,12 +29,12 @@
 		now := c.now()
 		tx := wire.Commit{Guards: []wire.Guard{{Key: ledger.LeaderKey, Stamp: c.term}}}
 		noted := map[string]imageNote{}
-		most := max(1, int(c.Config.Cluster.State.WriteRps/8))
+		most := max(1, int(c.Config.StateLimits().WriteRps/8))
 		c.fleet.Each(func(m *fleet.Machine) {
 			if m.State == fleet.Ready && len(m.Images) > c.noted[m.ID].images && now.Sub(c.noted[m.ID].at) > c.Config.Lease() && len(tx.Apply) < most {
 				noted[m.ID] = imageNote{len(m.Images), now}
 				names := slices.Sorted(maps.Keys(m.Images))
-				tx.Apply = append(tx.Apply, wire.Change{Set: ledger.ImagesKey(m.ID), Value: ledger.Encode(ledger.Images{Names: names[:min(len(names), 16)]})})
+				tx.Apply = append(tx.Apply, wire.Change{Set: ledger.ImagesKey(m.ID), Value: ledger.Encode(ledger.Images{Names: ledger.FitNames(names[:min(len(names), maxNotedImages)], c.Config.ValueBytes())})})
 			}
 		})
 		c.mu.Unlock()
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"time"
 
 	"lotusstile.dev/lotusstile/internal/fleet"
@@ -29,7 +30,11 @@
 	uid            string
 	rec            *ledger.Job
 	stamp          uint64
-	level          int
+	level          int     // its own, or the highest of those that need it
+	dueMs          float64 // by its own deadline or theirs; +Inf if there is none
+	released       bool    // all that it needs is done
+	cancelled      bool    // a job that it needs is cancelled
+	fromMs         int64   // when it was accepted or, if later, released
 	need           fleet.Res
 	pieces         map[int]*piece
 	done           int
@@ -44,17 +49,18 @@
 	countsRevision uint64    // of the last change of its counts of tasks
 	hold           time.Time // not placed before
 	unsure         bool      // the outcome of its archiving is unknown
+	asideUntil     time.Time // nothing of it is written before: the state service rejected it
 }
 
 func newJob(uid string, e ledger.Entry, now time.Time) *job {
-	return &job{uid: uid, rec: e.Job, stamp: e.Stamp, level: e.Job.Spec.Rank.Level(), need: fleet.Need(&e.Job.Spec),
+	return &job{uid: uid, rec: e.Job, stamp: e.Stamp, level: e.Job.Spec.Rank.Level(), dueMs: math.Inf(1), fromMs: e.Job.AtMs, need: fleet.Need(&e.Job.Spec),
 		pieces: map[int]*piece{}, waitFrom: now, avoid: map[string]time.Time{}}
 }
 
 // load takes a record of a piece into the job.
 func (j *job) load(n int, row wire.Item) []ledger.Placed {
-	var rec ledger.Piece
-	if err := wire.Decode(row.Value, &rec); err != nil {
+	rec, err := ledger.DecodePiece(row.Value)
+	if err != nil {
 		slog.Error("placement record cannot be read", "key", row.Key, "err", err)
 		return nil
 	}
@@ -69,6 +75,17 @@
 	return rec.Live
 }
 
+// outcome is the final status of a job that is over.
+func (j *job) outcome() wire.JobStatus {
+	switch {
+	case j.rec.Status.Final():
+		return j.rec.Status
+	case j.cancelled:
+		return wire.JobAborted
+	}
+	return wire.JobDone
+}
+
 // piece finds or makes the piece that a task belongs to.
 func (j *job) piece(leg int) *piece {
 	n := leg / j.rec.Per
@@ -93,7 +110,7 @@
 }
 
 func (j *job) waiting() int {
-	if j.rec.Status.Final() {
+	if j.rec.Status.Final() || !j.released {
 		return 0
 	}
 	return max(0, j.rec.Spec.Legs-j.done-j.live)
@@ -162,6 +179,20 @@
 	return rec
 }
 
+// hasRoom reports whether the record of the piece still fits a value with one more
+// attempt of a task on a machine.
+func (p *piece) hasRoom(leg int, m *fleet.Machine, valueBytes int) bool {
+	tasks := p.job.rec.Per
+	if ledger.FitsPlain(tasks, valueBytes) {
+		return true
+	}
+	bytes := ledger.DenseBytes(ledger.Placed{Leg: leg, Try: p.next, Host: m.ID, Shift: m.Shift}, tasks)
+	for _, a := range p.live {
+		bytes += ledger.DenseBytes(ledger.Placed{Leg: a.Leg, Try: a.Try, Host: a.Machine.ID, Shift: a.Shift}, tasks)
+	}
+	return bytes <= ledger.DenseRoom(valueBytes, tasks)
+}
+
 // touch notes a change that is to be recorded at due or before.
 func (p *piece) touch(due time.Time) {
 	p.seq++
--- /dev/null
+++ b/internal/controller/limits.go
@@ -0,0 +1,65 @@
+package controller
+
+import (
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/clusterversion"
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/store"
+)
+
+// mayWriteDense reports whether all nodes can read densely listed placements.
+func (c *Controller) mayWriteDense() bool { return c.Version.InForce() >= clusterversion.Pipelines }
+
+// pieceBytes is how large the record of a piece may be. The announced limit holds from
+// when records can be written that fit it; the service does not lower its own before.
+func (c *Controller) pieceBytes() int {
+	if c.mayWriteDense() {
+		return c.Config.ValueBytes()
+	}
+	return c.Config.CurrentValueBytes()
+}
+
+// encodePiece makes the record of a piece, or nil if it fits no value: one that was
+// written under a higher limit is written again once enough of its tasks have ended.
+func (c *Controller) encodePiece(p *piece, now time.Time) json.RawMessage {
+	value := ledger.EncodePiece(p.record(), c.pieceBytes(), c.mayWriteDense())
+	if len(value) > c.pieceBytes() {
+		slog.Warn("placement does not fit a record yet", "uid", p.job.uid, "piece", p.n, "bytes", len(value))
+		p.due = now.Add(c.endsWait())
+		return nil
+	}
+	return value
+}
+
+// setAside deals with a batch that the state service rejects: some record of it is
+// malformed or too large to it. Jobs are then written one by one for a while, so that
+// the one concerned holds up no other; it is itself left alone for a lease.
+func (c *Controller) setAside(b *batch, rejected *store.RejectedError) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until := c.now().Add(c.Config.Lease())
+	slog.Error("commit rejected", "term", c.term, "keys", rejected.Keys, "detail", rejected.Detail)
+	jobs := b.touched()
+	if len(jobs) > 1 {
+		c.singlesUntil = until
+		return
+	}
+	for j := range jobs {
+		j.asideUntil = until
+	}
+}
+
+// touched is the jobs that a batch writes anything of.
+func (b *batch) touched() map[*job]bool {
+	jobs := map[*job]bool{}
+	for _, write := range b.pieces {
+		jobs[write.p.job] = true
+	}
+	for _, j := range b.jobs {
+		jobs[j] = true
+	}
+	return jobs
+}
--- a/internal/controller/picture.go
+++ b/internal/controller/picture.go
@@ -88,7 +88,7 @@
 	if !known {
 		return nil // a zone that a task may be in is not known yet
 	}
-	sj := &sched.Job{Spec: spec, Level: j.level, AtMs: j.rec.AtMs, Waiting: waiting, Live: j.live, ByYard: byYard,
+	sj := &sched.Job{Spec: spec, Level: j.level, AtMs: j.fromMs, Waiting: waiting, Live: j.live, ByYard: byYard,
 		WaitedS: now.Sub(j.waitFrom).Seconds(), SlackS: c.slackS(spec), LaxS: c.laxS(j, now), Avoid: c.avoids(j, now)}
 	// What a service has lost is down until it has its image again.
 	sj.Fetch = sj.SlackS < 0 || j.lost > 0 && spec.Shape == wire.Standing
@@ -112,7 +112,7 @@
 	s := &j.rec.Spec
 	usual := c.arrive[s.Berth]
 	return s.Shape == wire.Sweep && !s.Together && !j.begun && j.done == 0 && j.live == 0 &&
-		now.Sub(time.UnixMilli(j.rec.AtMs)) > beginLeases*c.Config.Lease() &&
+		now.Sub(time.UnixMilli(j.fromMs)) > beginLeases*c.Config.Lease() &&
 		usual != nil && float64(s.Legs*s.Legs) >= usual.legs2
 }
 
@@ -221,17 +221,14 @@
 // age, it went before them, and at a team's limit fewer were in time.
 func (c *Controller) laxS(j *job, now time.Time) float64 {
 	s := &j.rec.Spec
-	age := float64(now.UnixMilli()-j.rec.AtMs) / 1000
-	due := math.Inf(1)
-	if s.DueS != nil {
-		due = *s.DueS
-	}
+	age := float64(now.UnixMilli()-j.fromMs) / 1000
+	left := (j.dueMs - float64(now.UnixMilli())) / 1000
 	for _, o := range c.Config.Cluster.Objectives {
 		if o.Kind == "finished" && o.Class == s.Berth && o.WithinS > age {
-			due = min(due, o.WithinS)
+			left = min(left, o.WithinS-age)
 		}
 	}
-	if math.IsInf(due, 1) || s.Shape != wire.Sweep {
+	if math.IsInf(left, 1) || s.Shape != wire.Sweep {
 		return 4*c.bootS(s) - now.Sub(j.waitFrom).Seconds()
 	}
 	fetch := 0.0
@@ -240,7 +237,7 @@
 			fetch = max(fetch, s.ImageGb/r.PullGbPerS)
 		}
 	}
-	return due - age - fetch - 1.5*s.ExpectS
+	return left - fetch - runAllowance*s.ExpectS
 }
 
 // bootS is how long the quickest machine that may run a task of the job boots.
--- a/internal/controller/returns.go
+++ b/internal/controller/returns.go
@@ -71,7 +71,7 @@
 		return false
 	}
 	slices.Sort(hosts)
-	hosts = ledger.FitHosts(hosts, c.Config.ValueBytes())
+	hosts = ledger.FitNames(hosts, c.Config.ValueBytes())
 	// A key is used once: were it written again, a late transaction could put
 	// an older list in the place of a newer one.
 	c.returnKeys++
--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -97,7 +97,7 @@
 // those called off at the end of an outage kept 400 other jobs waiting, with nothing
 // placed for 12 s. What a piece that is to be written anyway takes on costs nothing.
 func (c *Controller) start(plan *sched.Plan, machines []*fleet.Machine, now time.Time) int {
-	budget := max(1, int(c.Config.Cluster.State.WriteRps))
+	budget := max(1, int(c.Config.StateLimits().WriteRps))
 	for _, j := range c.jobs {
 		if j.rec.Status.Final() {
 			continue
@@ -120,6 +120,10 @@
 		}
 		for _, leg := range j.pick(pl.Count) {
 			p := j.piece(leg)
+			if !p.hasRoom(leg, m, c.pieceBytes()) {
+				j.freed = append(j.freed, leg)
+				continue // until others of its piece have ended
+			}
 			if !p.dirty || p.due.After(now) {
 				budget--
 			}
--- a/internal/controller/spare.go
+++ b/internal/controller/spare.go
@@ -41,7 +41,7 @@
 		a = &arrivals{at: now, legs2: legs * legs}
 		c.arrive[s.Berth] = a
 	}
-	a.spec, a.level = s, j.level
+	a.spec, a.level = s, s.Rank.Level()
 	a.legs2 += (legs*legs - a.legs2) / 8
 	a.fade(now, c.fadeS())
 	a.count++
--- a/internal/controller/writer.go
+++ b/internal/controller/writer.go
@@ -71,8 +71,8 @@
 	var jobs, withdrawn []*job
 	for _, j := range c.jobs {
 		switch {
-		case j.unsure:
-		case c.over(j) && j.rec.Status.Final():
+		case j.unsure || now.Before(j.asideUntil):
+		case c.over(j) && (j.rec.Status.Final() || j.cancelled):
 			withdrawn = append(withdrawn, j)
 		case c.over(j) || !j.rec.Status.Final() && j.writes(now):
 			jobs = append(jobs, j)
@@ -93,7 +93,7 @@
 // batchOps is how many changes go into one commit: no more than the budget
 // holds at once, or the commit would never find room.
 func (c *Controller) batchOps() int {
-	limits := c.Config.Cluster.State
+	limits := c.Config.StateLimits()
 	return min(limits.TxnOps, max(4, int(limits.WriteRps*store.RecordShare)))
 }
 
@@ -111,11 +111,22 @@
 // have to write.
 func (c *Controller) batch(jobs []*job, now time.Time, ops int) *batch {
 	b := &batch{tx: wire.Commit{Guards: []wire.Guard{{Key: ledger.LeaderKey, Stamp: c.term}}}}
+	// Ends that others wait for go first: they hold up whole pipelines.
+	holdsUp := func(j *job) bool { return c.over(j) && c.graph.Awaited(j.uid) }
 	slices.SortFunc(jobs, func(x, y *job) int {
+		if holds := holdsUp(x); holds != holdsUp(y) {
+			if holds {
+				return -1
+			}
+			return 1
+		}
 		return cmp.Or(cmp.Compare(y.level, x.level), cmp.Compare(x.uid, y.uid))
 	})
 	size := 0
 	for _, j := range jobs {
+		if now.Before(c.singlesUntil) && len(b.tx.Apply) > 0 {
+			break
+		}
 		if c.over(j) {
 			c.archive(b, j, ops)
 			continue
@@ -126,7 +137,10 @@
 				continue
 			}
 			w := pieceWrite{p: p, seq: p.seq, planned: p.planned(), ended: slices.Clone(p.ended)}
-			value := ledger.Encode(p.record())
+			value := c.encodePiece(p, now)
+			if value == nil {
+				continue
+			}
 			size += len(value)
 			key := ledger.PieceKey(j.uid, p.n)
 			b.tx.Guards = append(b.tx.Guards, wire.Guard{Key: key, Stamp: p.stamp})
@@ -148,7 +162,7 @@
 // over reports whether a job can be archived: all its tasks are done, or it is
 // final and nothing of it may be on a machine.
 func (c *Controller) over(j *job) bool {
-	if j.rec.Status.Final() {
+	if j.rec.Status.Final() || j.cancelled {
 		return j.live == 0
 	}
 	return j.done >= j.rec.Spec.Legs && j.live == 0
@@ -170,10 +184,7 @@
 	if unsure || room < 2 || len(b.tx.Guards)+stored+2 > 4*ops {
 		return
 	}
-	status := wire.JobDone
-	if j.rec.Status.Final() {
-		status = j.rec.Status
-	}
+	status := j.outcome()
 	jobGuard := wire.Guard{Key: ledger.JobKey(j.uid), Stamp: j.stamp}
 	if stored+2 > room {
 		if len(b.tx.Apply) > 0 {
@@ -181,7 +192,7 @@
 		}
 		if !j.rec.Status.Final() {
 			rec := *j.rec
-			rec.Status = status
+			rec.Finish(status, c.Config.ValueBytes())
 			b.tx.Guards = append(b.tx.Guards, jobGuard)
 			b.tx.Apply = append(b.tx.Apply, wire.Change{Set: jobGuard.Key, Value: ledger.Encode(rec)})
 			b.jobs, b.gone = append(b.jobs, j), append(b.gone, false)
@@ -222,6 +233,7 @@
 	}
 	epoch, err := c.Store.Commit(sctx, b.tx)
 	var conflict *store.ConflictError
+	var rejected *store.RejectedError
 	switch {
 	case err == nil:
 		c.committed(b, epoch)
@@ -238,6 +250,9 @@
 		slog.Warn("commit's outcome is unknown", "term", c.term, "err", err)
 		c.reread(ctx, b)
 		return false
+	case errors.As(err, &rejected):
+		c.setAside(b, rejected)
+		return true
 	case b.note:
 		slog.Debug("left for later", "term", c.term, "err", err)
 		return false
@@ -271,6 +286,8 @@
 		}
 	}
 	for i, j := range b.jobs {
+		status := j.outcome()
+		c.finished(j.uid, status, now)
 		if b.gone[i] {
 			slog.Info("job archived", "uid", j.uid)
 			if c.jobs[j.uid] == j {
@@ -279,7 +296,7 @@
 			continue
 		}
 		rec := *j.rec
-		rec.Status = wire.JobDone
+		rec.Status = status
 		j.rec, j.stamp = &rec, epoch
 	}
 }
@@ -293,13 +310,7 @@
 	for _, w := range b.pieces {
 		w.p.unsure = true
 	}
-	jobs := map[*job]bool{}
-	for _, w := range b.pieces {
-		jobs[w.p.job] = true
-	}
-	for _, j := range b.jobs {
-		jobs[j] = true
-	}
+	jobs := b.touched()
 	for j := range jobs {
 		j.unsure = true
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -10,6 +10,7 @@
 //	i/<host>      the images a machine has, as far as was seen
 //	k/<node>/<n>  machines whose leases a node keeps, cut off from the leader
 //	o/settings    the operators' own settings
+//	o/version     the cluster version: which formats of records are in use
 package ledger
 
 import (
@@ -34,6 +35,7 @@
 	KeptPrefix     = "k/"
 	SettingsPrefix = "o/"
 	SettingsKey    = "o/settings"
+	VersionKey     = "o/version"
 )
 
 // Leader is the value of LeaderKey and TermKey.
@@ -47,6 +49,20 @@
 	Per    int   // tasks to a piece of its placement
 }
 
+// ClusterVersion is the value of VersionKey.
+type ClusterVersion struct{ Version int }
+
+// Finish gives the job its final status. If the record is larger than a value may be,
+// it loses what nothing of a job that is over is read for: a record that was written
+// under higher limits can then be written all the same.
+func (j *Job) Finish(status wire.JobStatus, valueBytes int) {
+	j.Status = status
+	if len(Encode(j)) <= valueBytes {
+		return
+	}
+	j.Spec.Rigs, j.Spec.Yard, j.Spec.Rollout, j.Spec.Awaits = nil, "", "", nil
+}
+
 // Final is the last word on a job.
 type Final struct{ Status wire.JobStatus }
 
@@ -69,30 +85,16 @@
 	Shift uint64 `json:"S"`
 }
 
-// Piece is the placement of Per tasks in a row. Next is above every Try that
-// was ever used in it, so that no Try is used twice.
-type Piece struct {
-	Next uint64   `json:"N"`
-	Done []byte   `json:"D,omitempty"` // bit per task
-	Live []Placed `json:"A,omitempty"`
-}
-
-// placedBytes is the most that one Placed takes in JSON, with a host's name of
-// usual length; LegsPerPiece divides by it.
-const placedBytes = 96
-
-// LegsPerPiece is how many tasks go into one piece so that it fits a value.
-func LegsPerPiece(valueBytes int) int { return max(1, valueBytes/placedBytes) }
-
-// FitHosts is as many of the names as a value of the given size holds.
-func FitHosts(hosts []string, valueBytes int) []string {
+// FitNames is as many of the names as a record with one list of names holds in a value
+// of the given size, but at least one.
+func FitNames(names []string, valueBytes int) []string {
 	size := len(`{"Hosts":[]}`)
-	for i, h := range hosts {
-		if size += len(Encode(h)) + 1; size > valueBytes && i > 0 {
-			return hosts[:i]
+	for i, name := range names {
+		if size += len(Encode(name)) + 1; size > valueBytes && i > 0 {
+			return names[:i]
 		}
 	}
-	return hosts
+	return names
 }
 
 // JobKey is the key of a job.
@@ -130,16 +132,3 @@
 	}
 	return data
 }
-
-// DoneBit reports whether task i of the piece is done.
-func (p *Piece) DoneBit(i int) bool {
-	return i/8 < len(p.Done) && p.Done[i/8]&(1<<(i%8)) != 0
-}
-
-// SetDone marks task i of the piece done.
-func (p *Piece) SetDone(i int) {
-	for len(p.Done) <= i/8 {
-		p.Done = append(p.Done, 0)
-	}
-	p.Done[i/8] |= 1 << (i % 8)
-}
--- /dev/null
+++ b/internal/ledger/piece.go
@@ -0,0 +1,144 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// Piece is the placement of Per tasks in a row. Next is above every Try that
+// was ever used in it, so that no Try is used twice.
+type Piece struct {
+	Next uint64   `json:"N"`
+	Done []byte   `json:"D,omitempty"` // bit per task
+	Live []Placed `json:"A,omitempty"`
+	// Dense holds the attempts in less room, in place of Live.
+	Dense *Dense `json:"B,omitempty"`
+}
+
+// Dense lists attempts in columns: attempt i is of task Legs[i] with try Tries[i] on
+// machine Machines[i] of Hosts and Shifts. A machine has one entry for each session
+// that attempts are known from.
+type Dense struct {
+	Legs     []int    `json:"L"`
+	Tries    []uint64 `json:"T"`
+	Machines []int    `json:"M"`
+	Hosts    []string `json:"H"`
+	Shifts   []uint64 `json:"S"`
+}
+
+// session is a machine in one of its sessions.
+type session struct {
+	host  string
+	shift uint64
+}
+
+// newDense lists attempts densely.
+func newDense(live []Placed) *Dense {
+	dense := &Dense{}
+	index := map[session]int{}
+	for _, placed := range live {
+		key := session{placed.Host, placed.Shift}
+		machine, known := index[key]
+		if !known {
+			machine = len(dense.Hosts)
+			index[key] = machine
+			dense.Hosts = append(dense.Hosts, placed.Host)
+			dense.Shifts = append(dense.Shifts, placed.Shift)
+		}
+		dense.Legs = append(dense.Legs, placed.Leg)
+		dense.Tries = append(dense.Tries, placed.Try)
+		dense.Machines = append(dense.Machines, machine)
+	}
+	return dense
+}
+
+// placed lists the attempts one by one.
+func (d *Dense) placed() ([]Placed, error) {
+	if len(d.Tries) != len(d.Legs) || len(d.Machines) != len(d.Legs) || len(d.Shifts) != len(d.Hosts) {
+		return nil, fmt.Errorf("columns of different lengths: %d tasks, %d tries, %d machines", len(d.Legs), len(d.Tries), len(d.Machines))
+	}
+	live := make([]Placed, 0, len(d.Legs))
+	for i, machine := range d.Machines {
+		if machine < 0 || machine >= len(d.Hosts) {
+			return nil, fmt.Errorf("machine %d of %d", machine, len(d.Hosts))
+		}
+		live = append(live, Placed{Leg: d.Legs[i], Try: d.Tries[i], Host: d.Hosts[machine], Shift: d.Shifts[machine]})
+	}
+	return live, nil
+}
+
+// EncodePiece makes the value of a piece's record. If it does not fit into valueBytes
+// and dense is allowed, its attempts are listed densely. Releases before cluster
+// version 2 cannot read that.
+func EncodePiece(piece Piece, valueBytes int, dense bool) json.RawMessage {
+	value := Encode(piece)
+	if len(value) <= valueBytes || !dense {
+		return value
+	}
+	piece.Dense, piece.Live = newDense(piece.Live), nil
+	return Encode(piece)
+}
+
+// DecodePiece reads the record of a piece in either form.
+func DecodePiece(value json.RawMessage) (Piece, error) {
+	var piece Piece
+	if err := wire.Decode(value, &piece); err != nil {
+		return Piece{}, fmt.Errorf("piece: %w", err)
+	}
+	if piece.Dense == nil {
+		return piece, nil
+	}
+	live, err := piece.Dense.placed()
+	if err != nil {
+		return Piece{}, fmt.Errorf("piece: %w", err)
+	}
+	piece.Live, piece.Dense = append(piece.Live, live...), nil
+	return piece, nil
+}
+
+const (
+	// placedBytes is the most that one Placed takes in JSON, with a host's name of
+	// usual length.
+	placedBytes = 96
+	// denseBytes is the same for one attempt that is listed densely, alone on its
+	// machine.
+	denseBytes = 24
+	// denseFrameBytes is what the rest of a densely listed piece takes at most.
+	denseFrameBytes = 72
+)
+
+// LegsPerPiece is how many tasks go into one piece so that it fits a value: one by one
+// under the limit of now, and densely under the lowest that is announced.
+func LegsPerPiece(currentBytes, lowestBytes int) int {
+	return max(1, min(currentBytes/placedBytes, lowestBytes/denseBytes))
+}
+
+// FitsPlain reports whether a piece of so many tasks fits a value with its attempts
+// listed one by one.
+func FitsPlain(tasks, valueBytes int) bool { return tasks <= valueBytes/placedBytes }
+
+// DenseBytes is at most what an attempt adds to a densely listed piece of so many tasks.
+func DenseBytes(placed Placed, tasks int) int {
+	const separators = 7 // commas and quotes
+	return len(strconv.Itoa(placed.Leg)) + len(strconv.FormatUint(placed.Try, 10)) + len(placed.Host) +
+		len(strconv.FormatUint(placed.Shift, 10)) + len(strconv.Itoa(tasks)) + separators
+}
+
+// DenseRoom is how many bytes a densely listed piece of so many tasks has for attempts.
+func DenseRoom(valueBytes, tasks int) int { return valueBytes - denseFrameBytes - (tasks+7)/8*4/3 }
+
+// DoneBit reports whether task i of the piece is done.
+func (p *Piece) DoneBit(i int) bool {
+	return i/8 < len(p.Done) && p.Done[i/8]&(1<<(i%8)) != 0
+}
+
+// SetDone marks task i of the piece done.
+func (p *Piece) SetDone(i int) {
+	for len(p.Done) <= i/8 {
+		p.Done = append(p.Done, 0)
+	}
+	p.Done[i/8] |= 1 << (i % 8)
+}
--- /dev/null
+++ b/internal/ledger/piece_test.go
@@ -0,0 +1,126 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// placedGen draws attempts as a leader may have to record them.
+var placedGen = rapid.Custom(func(t *rapid.T) Placed {
+	return Placed{Leg: rapid.IntRange(0, wire.MaxLegs).Draw(t, "leg"), Try: rapid.Uint64().Draw(t, "try"),
+		Host: rapid.StringMatching(`m-[0-9a-z"<]{1,20}`).Draw(t, "host"), Shift: rapid.Uint64Range(1, 3).Draw(t, "shift")}
+})
+
+// A densely listed piece is read as what was written, and it takes no more than is
+// reckoned with before a task is placed.
+func TestDensePieces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		piece := Piece{Next: rapid.Uint64().Draw(t, "next"), Done: rapid.SliceOfN(rapid.Byte(), 0, 11).Draw(t, "done"),
+			Live: rapid.SliceOfN(placedGen, 0, 85).Draw(t, "live")}
+		if len(piece.Done) == 0 {
+			piece.Done = nil
+		}
+		const smallest = 1
+		value := EncodePiece(piece, smallest, true)
+		got, err := DecodePiece(value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(got.Live) != len(piece.Live) || len(got.Live) > 0 && !reflect.DeepEqual(got, piece) {
+			t.Fatalf("read as %+v, want %+v", got, piece)
+		}
+		plain, tasks := true, 85
+		bytes := 0
+		for _, placed := range piece.Live {
+			plain = plain && !strings.ContainsAny(placed.Host, `"<`)
+			bytes += DenseBytes(placed, tasks)
+		}
+		if limit := 2048; plain && bytes <= DenseRoom(limit, tasks) && len(value) > limit {
+			t.Fatalf("%d attempts take %d bytes", len(piece.Live), len(value))
+		}
+	})
+}
+
+// A whole piece on machines with names of usual length fits a quarter of the value that
+// it was laid out for, each of its tasks on a machine of its own.
+func TestWholePieceFitsLowerLimit(t *testing.T) {
+	const current, lowest = 8 << 10, 2 << 10
+	tasks := LegsPerPiece(current, lowest)
+	if tasks != LegsPerPiece(current, current) {
+		t.Errorf("%d tasks to a piece, %d before the limit was announced", tasks, LegsPerPiece(current, current))
+	}
+	piece := Piece{Next: 3}
+	room := DenseRoom(lowest, tasks)
+	for i := range tasks {
+		placed := Placed{Leg: 2*tasks + i, Try: 1, Host: fmt.Sprintf("m-%06d", i), Shift: 1}
+		piece.SetDone(i)
+		piece.Live = append(piece.Live, placed)
+		room -= DenseBytes(placed, tasks)
+	}
+	if value := EncodePiece(piece, lowest, true); len(value) > lowest || room < 0 {
+		t.Errorf("%d tasks take %d bytes, %d left by reckoning", tasks, len(value), room)
+	}
+}
+
+// piece1 and placed1 are a piece's record as releases before cluster version 2 know it.
+type (
+	piece1 struct {
+		Next uint64    `json:"N"`
+		Done []byte    `json:"D,omitempty"`
+		Live []placed1 `json:"A,omitempty"`
+	}
+	placed1 struct {
+		Leg   int    `json:"L"`
+		Try   uint64 `json:"T"`
+		Host  string `json:"H"`
+		Shift uint64 `json:"S"`
+	}
+)
+
+// As long as an older release may read it, a piece is written as that release knows it,
+// also if it does not fit.
+func TestPiecesForOlderReleases(t *testing.T) {
+	piece := Piece{Next: 3, Done: []byte{5}, Live: []Placed{{1, 2, "m-1", 4}, {2, 1, "m-2", 1}}}
+	var got piece1
+	if err := json.Unmarshal(EncodePiece(piece, 1, false), &got); err != nil {
+		t.Fatal(err)
+	}
+	if want := (piece1{3, []byte{5}, []placed1{{1, 2, "m-1", 4}, {2, 1, "m-2", 1}}}); !reflect.DeepEqual(got, want) {
+		t.Errorf("an older release reads %+v, want %+v", got, want)
+	}
+}
+
+// The record of a job that was accepted under a higher limit can be finished under a
+// lower one, and still tells what a leader needs to get rid of its tasks.
+func TestOversizedJobsCanBeFinished(t *testing.T) {
+	const limit = 2 << 10
+	long := strings.Repeat("x", 200)
+	job := Job{Spec: wire.Work{UID: "run-000412", Berth: "train", Crew: "vision", Shape: wire.Sweep, Rank: wire.High, Legs: 16, Cores: 8, Gpus: 1, RAMGb: 64,
+		Rollout: long, Yard: long}, Status: wire.JobQueued, AtMs: 1, Per: 85}
+	for range 12 {
+		job.Spec.Rigs = append(job.Spec.Rigs, long)
+	}
+	if len(Encode(job)) <= limit {
+		t.Fatal("the record is small")
+	}
+	finished := job
+	finished.Finish(wire.JobAborted, limit)
+	if size := len(Encode(finished)); size > limit {
+		t.Errorf("%d bytes are left", size)
+	}
+	if finished.Status != wire.JobAborted || finished.Per != job.Per || finished.Spec.Legs != 16 || finished.Spec.Crew != "vision" || finished.Spec.Cores != 8 {
+		t.Errorf("finished as %+v", finished)
+	}
+	small := Job{Spec: wire.Work{UID: "run-000412", Rigs: []string{"g8"}, Rollout: "img"}}
+	small.Finish(wire.JobDone, limit)
+	if small.Spec.Rollout != "img" || small.Spec.Rigs == nil {
+		t.Error("a record that fits has lost something")
+	}
+}
--- /dev/null
+++ b/internal/peer/compatibility_test.go
@@ -0,0 +1,118 @@
+package peer
+
+import (
+	"bytes"
+	"encoding/gob"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// due is a deadline that messages can point to.
+var due = 900.5
+
+// messages is one of each message as the release before cluster version 2 wrote it
+// into testdata/release1.
+var messages = map[string]any{
+	"ping-args": PingArgs{From: "n0", Term: 7, CountsTerm: 6, CountsRevision: 5},
+	"ping-reply": PingReply{Term: 7, Leading: true, Serving: true, Heard: []string{"m-1"},
+		Counts: []wire.JobView{{UID: "run-000412", Status: wire.JobRunning, Done: 3, Running: 2}}, CountsRevision: 9},
+	"counts-args":    CountsArgs{UID: "run-000412"},
+	"counts-reply":   CountsReply{Known: true, Done: 3, Running: 2},
+	"check-in-args":  CheckInArgs{Body: []byte("{}")},
+	"check-in-reply": CheckInReply{Status: 200, Body: []byte("{}")},
+	"user-args":      UserArgs{Method: "GET", Path: "/work/run-000412", Body: []byte("{}")},
+	"user-reply":     UserReply{Status: 503, RetryAfter: "1", Body: []byte("{}")},
+	"withdrawn-args": WithdrawnArgs{UID: "run-000412", Rec: ledger.Job{Spec: wire.Work{UID: "run-000412", Berth: "train", Crew: "vision",
+		Shape: wire.Sweep, Rank: wire.High, Legs: 16, Cores: 8, Gpus: 1, RAMGb: 64, Rollout: "img-07", ImageGb: 6.2, Rigs: []string{"g8"},
+		Yard: "a", Together: true, Scatter: true, Standby: true, ExpectS: 240, MarkS: 30, StowS: 4, DueS: &due}, Status: wire.JobAborted, AtMs: 1, Per: 85}, Stamp: 12},
+	"lead-reply": LeadReply{Lead: &wire.LeadStatus{Term: 7, Loaded: true}},
+}
+
+// What a node of the release before sends is read as it was meant.
+func TestMessagesOfTheReleaseBeforeAreRead(t *testing.T) {
+	for name, want := range messages {
+		data, err := os.ReadFile(filepath.Join("testdata", "release1", name+".gob"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := reflect.New(reflect.TypeOf(want))
+		if err := gob.NewDecoder(bytes.NewReader(data)).DecodeValue(got); err != nil {
+			t.Errorf("%s: %v", name, err)
+		} else if !reflect.DeepEqual(got.Elem().Interface(), want) {
+			t.Errorf("%s is read as %+v, want %+v", name, got.Elem().Interface(), want)
+		}
+	}
+}
+
+// The messages whose types have changed since, as the release before has them.
+type (
+	pingArgs1 struct {
+		From                       string
+		Term                       uint64
+		CountsTerm, CountsRevision uint64
+	}
+	pingReply1 struct {
+		Term           uint64
+		Leading        bool
+		Serving        bool
+		Heard          []string
+		Counts         []wire.JobView
+		CountsRevision uint64
+	}
+	work1 struct {
+		UID, Berth, Crew           string
+		Shape                      wire.Shape
+		Rank                       wire.Rank
+		Legs                       int
+		Cores, Gpus, RAMGb         float64
+		Rollout                    string
+		ImageGb                    float64
+		Rigs                       []string
+		Yard                       string
+		Together, Scatter, Standby bool
+		ExpectS, MarkS, StowS      float64
+		DueS                       *float64
+	}
+	job1 struct {
+		Spec   work1
+		Status wire.JobStatus
+		AtMs   int64
+		Per    int
+	}
+	withdrawnArgs1 struct {
+		UID   string
+		Rec   job1
+		Stamp uint64
+	}
+)
+
+// A node of the release before reads what this one sends, and passes over what it does
+// not know: the version, and the jobs that a job waits for.
+func TestReleaseBeforeReadsMessages(t *testing.T) {
+	withdrawn := messages["withdrawn-args"].(WithdrawnArgs)
+	withdrawn.Rec.Spec.Awaits = []string{"run-000001"}
+	for name, tc := range map[string]struct{ sent, want any }{
+		"ping-args": {PingArgs{From: "n0", Term: 7, CountsTerm: 6, CountsRevision: 5, Version: 2}, pingArgs1{"n0", 7, 6, 5}},
+		"ping-reply": {PingReply{Term: 7, Leading: true, Serving: true, Heard: []string{"m-1"}, CountsRevision: 9, Version: 2},
+			pingReply1{Term: 7, Leading: true, Serving: true, Heard: []string{"m-1"}, CountsRevision: 9}},
+		"withdrawn-args": {withdrawn, withdrawnArgs1{"run-000412", job1{work1{UID: "run-000412", Berth: "train", Crew: "vision", Shape: wire.Sweep,
+			Rank: wire.High, Legs: 16, Cores: 8, Gpus: 1, RAMGb: 64, Rollout: "img-07", ImageGb: 6.2, Rigs: []string{"g8"}, Yard: "a",
+			Together: true, Scatter: true, Standby: true, ExpectS: 240, MarkS: 30, StowS: 4, DueS: &due}, wire.JobAborted, 1, 85}, 12}},
+	} {
+		var sent bytes.Buffer
+		if err := gob.NewEncoder(&sent).Encode(tc.sent); err != nil {
+			t.Fatal(err)
+		}
+		got := reflect.New(reflect.TypeOf(tc.want))
+		if err := gob.NewDecoder(&sent).DecodeValue(got); err != nil {
+			t.Errorf("%s: %v", name, err)
+		} else if !reflect.DeepEqual(got.Elem().Interface(), tc.want) {
+			t.Errorf("%s is read as %+v, want %+v", name, got.Elem().Interface(), tc.want)
+		}
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"lotusstile.dev/lotusstile/internal/clusterversion"
 	"lotusstile.dev/lotusstile/internal/config"
 	"lotusstile.dev/lotusstile/internal/ledger"
 	"lotusstile.dev/lotusstile/wire"
@@ -26,6 +27,7 @@
 	Term uint64
 	// The counts of jobs' tasks that the caller has from the callee already.
 	CountsTerm, CountsRevision uint64
+	Version                    int // cluster version that the caller understands; 0: an older release
 }
 
 // PingReply tells about the callee.
@@ -38,6 +40,7 @@
 	// since the caller's revision, and the revision that they lead to.
 	Counts         []wire.JobView
 	CountsRevision uint64
+	Version        int // cluster version that the callee understands; 0: an older release
 }
 
 // CountsArgs asks the leader for a job's counts.
@@ -256,6 +259,14 @@
 	return p.last, !p.at.IsZero() && time.Since(p.at) <= limit
 }
 
+// Understands is the cluster version that the peer said last to understand; the first
+// if it has not been reached yet.
+func (p *Peer) Understands() clusterversion.Version {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return clusterversion.Normalize(p.last.Version)
+}
+
 // Counts asks for a job's counts.
 func (p *Peer) Counts(uid string) (CountsReply, error) {
 	var r CountsReply
--- /dev/null
+++ b/internal/pipeline/graph.go
@@ -0,0 +1,242 @@
+// Package pipeline keeps the dependencies between jobs: which job waits for which,
+// what a job's end or cancellation means for those that need it, and which priority
+// and due time a job has from them. It is pure: it knows no records and no clock.
+package pipeline
+
+import (
+	"maps"
+	"math"
+	"slices"
+)
+
+// State is where a job stands in the graph.
+type State int
+
+// The states of a job. Done and Cancelled are final.
+const (
+	Unresolved State = iota // named by a successor; nothing is known of it yet
+	Open                    // accepted and neither done nor cancelled
+	Done                    // its end is committed
+	Cancelled               // its cancellation is committed, or that of a job that it needs
+)
+
+var stateNames = [...]string{"unresolved", "open", "done", "cancelled"}
+
+func (s State) String() string { return stateNames[s] }
+
+// Final reports whether a state never changes again.
+func (s State) Final() bool { return s == Done || s == Cancelled }
+
+// Job is what the graph needs to know of a job.
+type Job struct {
+	Awaits []string // the jobs that have to be done first
+	Level  int      // its own priority
+	DueMs  float64  // its own due time; +Inf if it has none
+	RunMs  float64  // how long it is expected to take once nothing holds it up
+}
+
+// Effects is what a change of the graph means for other jobs.
+type Effects struct {
+	Released  []string // all that they wait for is done
+	Cancelled []string // a job that they need is cancelled
+	Urgency   []string // their priority or due time has changed
+}
+
+// node is a job of the graph.
+type node struct {
+	Job
+	state        State
+	archived     bool // has no record: it is kept only while others name it
+	predecessors []*node
+	successors   map[string]*node // that are not archived
+	pending      int              // predecessors that are not done
+	uid          string
+	level        int     // the highest of its own and those of its open successors
+	dueMs        float64 // the earliest that its own and its open successors' due times ask for
+}
+
+// Graph holds the jobs that are not archived, and archived ones while others name
+// them. It is not safe for concurrent use.
+type Graph struct {
+	nodes      map[string]*node
+	unresolved map[string]*node
+}
+
+// New makes an empty graph.
+func New() *Graph { return &Graph{nodes: map[string]*node{}, unresolved: map[string]*node{}} }
+
+// Add takes an accepted job in. A job that is known already is left as it is.
+func (g *Graph) Add(uid string, job Job) Effects {
+	var effects Effects
+	n := g.nodes[uid]
+	if n == nil {
+		n = g.make(uid)
+	} else if n.state != Unresolved {
+		return effects
+	}
+	delete(g.unresolved, uid)
+	n.Job, n.state, n.archived = job, Open, false
+	for _, name := range job.Awaits {
+		predecessor := g.nodes[name]
+		if predecessor == nil {
+			predecessor = g.make(name)
+			g.unresolved[name] = predecessor
+		}
+		predecessor.successors[uid] = n
+		n.predecessors = append(n.predecessors, predecessor)
+		if predecessor.state != Done {
+			n.pending++
+		}
+	}
+	if slices.ContainsFunc(n.predecessors, func(p *node) bool { return p.state == Cancelled }) {
+		g.set(n, Cancelled, &effects)
+		effects.Cancelled = append(effects.Cancelled, uid)
+	}
+	g.updateUrgency(n, &effects)
+	// What its successors ask for may have been known before it was itself.
+	for _, predecessor := range n.predecessors {
+		g.updateUrgency(predecessor, &effects)
+	}
+	return effects
+}
+
+// make adds a node of which nothing is known yet.
+func (g *Graph) make(uid string) *node {
+	n := &node{uid: uid, archived: true, successors: map[string]*node{}, dueMs: math.Inf(1)}
+	n.DueMs = math.Inf(1)
+	g.nodes[uid] = n
+	return n
+}
+
+// Finish notes that a job's end or cancellation is committed. A final state never
+// changes.
+func (g *Graph) Finish(uid string, state State) Effects {
+	var effects Effects
+	if n := g.nodes[uid]; n != nil && state.Final() {
+		g.set(n, state, &effects)
+	}
+	return effects
+}
+
+// set is the one function that changes a job's state.
+func (g *Graph) set(n *node, to State, effects *Effects) {
+	if n.state == to || n.state.Final() {
+		return
+	}
+	n.state = to
+	delete(g.unresolved, n.uid)
+	for _, successor := range n.successors {
+		if successor.state != Open {
+			continue
+		}
+		switch to {
+		case Done:
+			if successor.pending--; successor.pending == 0 {
+				effects.Released = append(effects.Released, successor.uid)
+			}
+		case Cancelled:
+			g.set(successor, Cancelled, effects)
+			effects.Cancelled = append(effects.Cancelled, successor.uid)
+		}
+	}
+	for _, predecessor := range n.predecessors {
+		g.updateUrgency(predecessor, effects)
+	}
+}
+
+// updateUrgency derives a job's priority and due time anew, and those of the jobs
+// that it needs if they have changed.
+func (g *Graph) updateUrgency(n *node, effects *Effects) {
+	level, dueMs := n.Level, n.DueMs
+	for _, successor := range n.successors {
+		if successor.state != Open {
+			continue
+		}
+		level = max(level, successor.level)
+		dueMs = min(dueMs, successor.dueMs-successor.RunMs)
+	}
+	if level == n.level && dueMs == n.dueMs {
+		return
+	}
+	n.level, n.dueMs = level, dueMs
+	effects.Urgency = append(effects.Urgency, n.uid)
+	if n.state != Open {
+		return // nobody waits for it any more
+	}
+	for _, predecessor := range n.predecessors {
+		g.updateUrgency(predecessor, effects)
+	}
+}
+
+// Archive notes that a job's record is gone. If it has not finished here, what
+// became of it has to be read from its final status.
+func (g *Graph) Archive(uid string) {
+	n := g.nodes[uid]
+	if n == nil {
+		return
+	}
+	n.archived = true
+	if n.state == Open {
+		n.state = Unresolved
+		g.unresolved[uid] = n
+	}
+	g.drop(n)
+}
+
+// drop forgets an archived job that no other names any more.
+func (g *Graph) drop(n *node) {
+	if !n.archived || len(n.successors) > 0 {
+		return
+	}
+	delete(g.nodes, n.uid)
+	delete(g.unresolved, n.uid)
+	for _, predecessor := range n.predecessors {
+		delete(predecessor.successors, n.uid)
+		g.drop(predecessor)
+	}
+}
+
+// State tells where a job stands; Unresolved if it is not known.
+func (g *Graph) State(uid string) State {
+	if n := g.nodes[uid]; n != nil {
+		return n.state
+	}
+	return Unresolved
+}
+
+// Ready reports whether a job is open and all that it needs is known to be done.
+func (g *Graph) Ready(uid string) bool {
+	n := g.nodes[uid]
+	return n != nil && n.state == Open && n.pending == 0
+}
+
+// Awaited reports whether an open job waits for this one.
+func (g *Graph) Awaited(uid string) bool {
+	n := g.nodes[uid]
+	if n == nil {
+		return false
+	}
+	for _, successor := range n.successors {
+		if successor.state == Open {
+			return true
+		}
+	}
+	return false
+}
+
+// Urgency tells a job's priority and due time, those that it has from others included.
+func (g *Graph) Urgency(uid string) (level int, dueMs float64) {
+	if n := g.nodes[uid]; n != nil {
+		return n.level, n.dueMs
+	}
+	return 0, math.Inf(1)
+}
+
+// Unresolved names the jobs whose final status has to be read.
+func (g *Graph) Unresolved() []string { return slices.Sorted(maps.Keys(g.unresolved)) }
+
+// HasUnresolved reports whether there are any such jobs.
+func (g *Graph) HasUnresolved() bool { return len(g.unresolved) > 0 }
+
+// Len is the number of jobs that the graph holds.
+func (g *Graph) Len() int { return len(g.nodes) }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -41,6 +41,17 @@
 	return fmt.Sprintf("no room in the budget of changes for %s", e.After.Round(time.Millisecond))
 }
 
+// RejectedError means that the service takes a request for malformed or for larger
+// than its limits allow. Sent again unchanged, it would be rejected again.
+type RejectedError struct {
+	Keys   []string // that the request was to change
+	Detail string   // what the service said
+}
+
+func (e *RejectedError) Error() string {
+	return fmt.Sprintf("state service rejected a change of %v: %.200s", e.Keys, e.Detail)
+}
+
 // ConflictError tells which guards of a commit failed.
 type ConflictError struct{ Failed []string }
 
@@ -56,6 +67,8 @@
 	users   *rate.Limiter // for what users ask to change: it never waits
 	proven  atomic.Int64  // start of the last answered request, as time since epoch
 	epoch   time.Time
+	// rejections counts commits that were answered 400.
+	rejections atomic.Uint64
 
 	mu       sync.Mutex
 	promised time.Time // until when users were told to stay away
@@ -329,7 +342,7 @@
 }
 
 // Commit applies a guarded transaction and returns its epoch. Its error is a
-// *ConflictError, *BusyError, ErrNoHold, ErrRefused (nothing happened) or
+// *ConflictError, *BusyError, *RejectedError, ErrNoHold, ErrRefused (nothing happened) or
 // ErrUnknown.
 func (c *Client) Commit(ctx context.Context, tx wire.Commit) (uint64, error) {
 	if n := len(tx.Apply); n > 0 {
@@ -361,10 +374,24 @@
 		if bytes.Contains(data, []byte("lease")) || bytes.Contains(data, []byte("hold")) {
 			return 0, fmt.Errorf("commit: %w", ErrNoHold)
 		}
+		c.rejections.Add(1)
+		return 0, fmt.Errorf("commit: %w", &RejectedError{Keys: changedKeys(tx), Detail: string(data)})
 	}
 	return 0, fmt.Errorf("commit: %w: status %d: %.200s", ErrRefused, status, data)
 }
 
+// changedKeys names what a transaction changes.
+func changedKeys(tx wire.Commit) []string {
+	keys := make([]string, 0, len(tx.Apply))
+	for _, change := range tx.Apply {
+		keys = append(keys, change.Set+change.Drop)
+	}
+	return keys
+}
+
+// Rejections counts the commits that the service has rejected as malformed or too large.
+func (c *Client) Rejections() uint64 { return c.rejections.Load() }
+
 // Changes waits up to hold for changes under a prefix after an epoch.
 func (c *Client) Changes(ctx context.Context, under string, after uint64, hold time.Duration) (wire.Changes, error) {
 	q := url.Values{"Under": {under}, "After": {strconv.FormatUint(after, 10)},
--- /dev/null
+++ b/wire/awaits_test.go
@@ -0,0 +1,35 @@
+package wire
+
+import (
+	"slices"
+	"strings"
+	"testing"
+)
+
+const submission = `{"Uid":"run-000412","Berth":"train","Crew":"vision","Shape":"sweep","Rank":"high","Legs":16,
+ "Cores":8.0,"Gpus":1.0,"RamGb":64.0,"Rollout":"img-07","ImageGb":6.2,"Together":true,"Scatter":false,"Standby":true,
+ "ExpectS":240.0,"MarkS":30.0,"StowS":4.0AWAITS}`
+
+func TestAwaitsOfASubmission(t *testing.T) {
+	for field, want := range map[string][]string{
+		``:                                      nil,
+		`,"Awaits":null`:                        nil,
+		`,"Awaits":[]`:                          nil,
+		`,"Awaits":["run-000398","run-000405"]`: {"run-000398", "run-000405"},
+		`,"Awaits":["run-000405","run-000398","run-000405"]`: {"run-000405", "run-000398"},
+	} {
+		body := []byte(strings.ReplaceAll(submission, "AWAITS", field))
+		work, err := ParseWork(body)
+		if err != nil || !slices.Equal(work.Awaits, want) {
+			t.Errorf("%s is read as %v, %v", field, work.Awaits, err)
+		}
+		if HasAwaits(body) != (len(want) > 0) {
+			t.Errorf("%s: HasAwaits is %v", field, HasAwaits(body))
+		}
+	}
+	for _, field := range []string{`"run-000398"`, `[398]`, `[null]`, `["job-1"]`, `["run-12"]`, `{}`, `[["run-000398"]]`, `true`} {
+		if work, err := ParseWork([]byte(strings.ReplaceAll(submission, "AWAITS", `,"Awaits":`+field))); err == nil {
+			t.Errorf("%s is read as %v", field, work.Awaits)
+		}
+	}
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -94,6 +94,8 @@
 	MarkS    float64
 	StowS    float64
 	DueS     *float64 `json:",omitempty"`
+	// Awaits names the jobs that have to be done before a task of this one starts.
+	Awaits []string `json:",omitempty"`
 }
 
 // workIn tells fields that are missing from fields that are zero.
@@ -106,6 +108,7 @@
 	Yard                              *string
 	Together, Scatter, Standby        *bool
 	ExpectS, MarkS, StowS, DueS       *float64
+	Awaits                            []string
 }
 
 // ValidUID reports whether id has the form of a job id: "run-" and six digits
@@ -136,7 +139,8 @@
 	if t := bytes.TrimLeft(body, " \t\r\n"); len(t) == 0 || t[0] != '{' {
 		return Work{}, errors.New("body is not a JSON object")
 	}
-	if err := json.Unmarshal(body, &in); err != nil {
+	err := json.Unmarshal(body, &in)
+	if err != nil {
 		return Work{}, fmt.Errorf("body is not valid: %w", err)
 	}
 	var w Work
@@ -220,6 +224,9 @@
 		}
 		*f.out = *f.in
 	}
+	if w.Awaits, err = parseAwaits(in.Awaits); err != nil {
+		return Work{}, err
+	}
 	return w, nil
 }
 
