fleetsim plays the planned size: controllers, zones, teams and limits by flags

Change: flags for controllers, zones, teams, intervals, limits, arrays at the start and capacity. The judge's tasks are indexed by job and team (occupancy.go); what it checks is the same (TestJudgeCanFail unchanged), and teams without a limit are not added up. Stand-in workers follow the protocol more closely: one that gets 421 closes its connection, and one whose report fails tries the next node 1 s later, not an interval after that. An answer that nobody waits for is no panic of the fake.

--- a/cmd/fleetsim/main.go
+++ b/cmd/fleetsim/main.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -21,21 +22,30 @@
 )
 
 type cli struct {
-	Dir       string        `required:"" type:"path" help:"Folder for the controllers' settings files (node-0.toml and so on)."`
-	Port      int           `default:"18070" help:"First of the loopback ports that are used."`
-	Machines  int           `default:"100" help:"Machines that are up at the start."`
-	Services  int           `default:"150" help:"Services that are submitted at the start."`
-	PerMinute float64       `default:"50" help:"Jobs submitted a minute after that."`
-	Stay      time.Duration `default:"4m" help:"How long services stay on the mean."`
-	Poll      time.Duration `default:"5s" help:"How often a user asks about a job."`
-	Delay     time.Duration `default:"4ms" help:"What the state service and the cloud take to answer."`
-	For       time.Duration `default:"2m" help:"How long to run."`
-	Seed      uint64        `default:"1" help:"Seed of what happens by chance."`
+	Dir         string        `required:"" type:"path" help:"Folder for the controllers' settings files (node-0.toml and so on)."`
+	Port        int           `default:"18070" help:"First of the loopback ports that are used."`
+	Controllers int           `default:"3" help:"Controllers that settings files are made for."`
+	Zones       int           `default:"2" help:"Zones, over which machines and controllers are spread."`
+	Teams       int           `default:"1" help:"Teams that jobs are submitted for."`
+	ReportS     float64       `default:"1" help:"Seconds from report to report of a worker."`
+	LeaseS      float64       `default:"10" help:"Seconds that a worker's lease lasts."`
+	Rps         float64       `default:"250" help:"Requests a second that the settings allow to the state service."`
+	WriteRps    float64       `default:"100" help:"Changes a second that the settings allow to the state service."`
+	Connections int           `default:"700" help:"Connections that the settings allow to a controller."`
+	MemMb       float64       `default:"65" help:"Memory that the settings allow to a controller, in MiB."`
+	Tasks       int           `default:"45" help:"Most tasks of an array."`
+	Machines    int           `default:"100" help:"Machines that are up at the start."`
+	Capacity    int           `default:"0" help:"Machines that the cloud has; 0: twice those of the start."`
+	Services    int           `default:"150" help:"Services that are submitted at the start."`
+	Arrays      int           `default:"0" help:"Arrays that are submitted at the start."`
+	PerMinute   float64       `default:"50" help:"Jobs submitted a minute after that."`
+	Stay        time.Duration `default:"4m" help:"How long services stay on the mean."`
+	Poll        time.Duration `default:"5s" help:"How often a user asks about a job."`
+	Delay       time.Duration `default:"4ms" help:"What the state service and the cloud take to answer."`
+	For         time.Duration `default:"2m" help:"How long to run."`
+	Seed        uint64        `default:"1" help:"Seed of what happens by chance."`
 }
 
-// nodes is how many controllers the settings files are made for.
-const nodes = 3
-
 const settings = `label = "node-%[1]d"
 location = "%[2]s"
 listen = "%[3]s"
@@ -45,18 +55,17 @@
 state = "127.0.0.1:%[6]d"
 cloud = "127.0.0.1:%[7]d"
 [cluster]
-size = 3
-zones = ["a", "b"]
+size = %[8]d
+zones = [%[9]s]
 skew_ms = 100.0
-[[cluster.teams]]
-name = "team"
+%[10]s
 [cluster.workers]
-report_s = 1.0
-lease_s = 10.0
-cancel_s = 40.0
+report_s = %[11]g
+lease_s = %[12]g
+cancel_s = %[13]g
 [cluster.state]
-rps = 250.0
-write_rps = 100.0
+rps = %[14]g
+write_rps = %[15]g
 value_kb = 8.0
 txn_ops = 24
 [cluster.cloud]
@@ -64,8 +73,8 @@
 list_lag_s = 3.0
 [cluster.machine_limits]
 cores = 0.05
-mem_mb = 65.0
-max_connections = 700
+mem_mb = %[16]g
+max_connections = %[17]d
 `
 
 func main() {
@@ -77,23 +86,48 @@
 	}
 }
 
+// cancelLeases is how many leases the tasks of a cancelled job have to end.
+const cancelLeases = 4
+
+func (c *cli) team(i int) string { return fmt.Sprintf("team-%d", i) }
+
+// zones names the zones.
+func (c *cli) zones() []string {
+	names := make([]string, c.Zones)
+	for i := range names {
+		names[i] = fmt.Sprintf("zone-%d", i)
+	}
+	return names
+}
+
+// zone is the zone of a controller.
+func (c *cli) zone(i int) string { return c.zones()[i%c.Zones] }
+
 func (c *cli) listen(i int) string { return fmt.Sprintf("127.0.0.1:%d", c.Port+10+i) }
 func (c *cli) mesh(i int) string   { return fmt.Sprintf("127.0.0.1:%d", c.Port+20+i) }
 
 // settingsOf makes the settings file of controller i.
 func (c *cli) settingsOf(i int) string {
-	zone := func(i int) string { return string(rune('a' + i%2)) }
 	var members strings.Builder
-	for j := range nodes {
+	for j := range c.Controllers {
 		if j != i {
-			fmt.Fprintf(&members, "[[members]]\nlabel = \"node-%d\"\nlocation = %q\nendpoint = %q\n", j, zone(j), c.mesh(j))
+			fmt.Fprintf(&members, "[[members]]\nlabel = \"node-%d\"\nlocation = %q\nendpoint = %q\n", j, c.zone(j), c.mesh(j))
 		}
 	}
-	return fmt.Sprintf(settings, i, zone(i), c.listen(i), c.mesh(i), members.String(), c.Port, c.Port+1)
+	var teams strings.Builder
+	for j := range c.Teams {
+		fmt.Fprintf(&teams, "[[cluster.teams]]\nname = %q\n", c.team(j))
+	}
+	return fmt.Sprintf(settings, i, c.zone(i), c.listen(i), c.mesh(i), members.String(), c.Port, c.Port+1,
+		c.Controllers, `"`+strings.Join(c.zones(), `", "`)+`"`, teams.String(), c.ReportS, c.LeaseS, cancelLeases*c.LeaseS,
+		c.Rps, c.WriteRps, c.MemMb, c.Connections)
 }
 
 func (c *cli) run() error {
-	for i := range nodes {
+	if c.Controllers < 1 || c.Controllers > 10 || c.Zones < 1 || c.Teams < 1 || c.Tasks < 1 {
+		return errors.New("there must be 1 to 10 controllers, and at least one zone, team and task")
+	}
+	for i := range c.Controllers {
 		path := filepath.Join(c.Dir, fmt.Sprintf("node-%d.toml", i))
 		if err := os.WriteFile(path, []byte(c.settingsOf(i)), 0o644); err != nil {
 			return fmt.Errorf("write settings: %w", err)
@@ -104,13 +138,16 @@
 		return fmt.Errorf("settings: %w", err)
 	}
 	network := standin.NewNetwork(rand.New(rand.NewPCG(c.Seed, 0)))
-	labels := make([]string, nodes)
-	for i := range nodes {
+	labels := make([]string, c.Controllers)
+	for i := range c.Controllers {
 		labels[i] = fmt.Sprintf("node-%d", i)
 		network.Attach(labels[i], standin.NewRemoteNode(c.listen(i)), nil)
 	}
-	world := standin.NewWorld(cfg, network, labels, catalog)
-	world.Capacity, world.PollEvery = 2*c.Machines, c.Poll
+	world := standin.NewWorld(cfg, network, labels, c.catalog())
+	world.Capacity, world.PollEvery = c.Capacity, c.Poll
+	if c.Capacity == 0 {
+		world.Capacity = 2 * c.Machines
+	}
 	world.ListenWorker = func(h http.Handler) string {
 		address, err := standin.Listen("127.0.0.1:0", h)
 		if err != nil {
@@ -124,29 +161,32 @@
 	if _, err := standin.Listen(fmt.Sprintf("127.0.0.1:%d", c.Port+1), standin.Delayed(world.CloudHandler(), c.Delay)); err != nil {
 		return fmt.Errorf("cloud: %w", err)
 	}
-	world.AddMachines("g8", "a", c.Machines/2)
-	world.AddMachines("g8", "b", c.Machines-c.Machines/2)
+	for i, zone := range c.zones() {
+		world.AddMachines("g8", zone, c.Machines*(i+1)/c.Zones-c.Machines*i/c.Zones)
+	}
 	fmt.Printf("settings in %s; start the controllers with them\n", c.Dir)
 	c.load(world)
 	fmt.Printf("%d tasks started; rules broken: %q\n", world.Started(), world.Broken())
 	return nil
 }
 
-var catalog = wire.Catalog{Rigs: []wire.Rig{
-	{Sku: "g8", Cores: 96, Gpus: 8, RAMGb: 576, LocalGb: 400, PullGbPerS: 2, Hourly: 24, LowPrice: 6, BootS: 15, Yards: []string{"a", "b"}},
-}}
+func (c *cli) catalog() wire.Catalog {
+	return wire.Catalog{Rigs: []wire.Rig{
+		{Sku: "g8", Cores: 96, Gpus: 8, RAMGb: 576, LocalGb: 400, PullGbPerS: 2, Hourly: 24, LowPrice: 6, BootS: 15, Yards: c.zones()},
+	}}
+}
 
 // load submits jobs until the time is over.
 func (c *cli) load(world *standin.World) {
 	rng := rand.New(rand.NewPCG(c.Seed, 1))
 	deadline := time.Now().Add(c.For)
 	user := func(i int, batch bool) {
-		spec := wire.Work{UID: fmt.Sprintf("run-%06d", i), Berth: "serve", Crew: "team", Shape: wire.Standing, Rank: wire.High,
+		spec := wire.Work{UID: fmt.Sprintf("run-%06d", i), Berth: "serve", Crew: c.team(rng.IntN(c.Teams)), Shape: wire.Standing, Rank: wire.High,
 			Legs: 1 << rng.IntN(4), Cores: 8, Gpus: 1, RAMGb: 40, Rollout: fmt.Sprintf("img-%d", rng.IntN(8)), ImageGb: 8}
 		stay := time.Duration(rng.ExpFloat64() * float64(c.Stay))
 		if batch {
 			spec.Berth, spec.Shape, spec.Rank, spec.Standby = "batch", wire.Sweep, wire.BestEffort, true
-			spec.Legs, spec.ExpectS, stay = 5+rng.IntN(40), 70, 0
+			spec.Legs, spec.ExpectS, stay = 1+rng.IntN(c.Tasks), 70, 0
 		}
 		go world.User(spec, stay, deadline)
 	}
@@ -155,6 +195,10 @@
 		user(serial, false)
 		serial++
 	}
+	for range c.Arrays {
+		user(serial, true)
+		serial++
+	}
 	for time.Now().Before(deadline) {
 		time.Sleep(time.Duration(rng.ExpFloat64() * 60 / c.PerMinute * float64(time.Second)))
 		user(serial, rng.IntN(4) == 0)
--- a/internal/standin/judge.go
+++ b/internal/standin/judge.go
@@ -136,13 +136,7 @@
 func (w *World) On(uid string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	n := 0
-	for leg, hosts := range w.on {
-		if u, _, _ := wire.SplitLeg(leg); u == uid {
-			n += len(hosts)
-		}
-	}
-	return n
+	return w.on.countOf(uid)
 }
 
 // LateStarts counts the tasks that started after their user was told that the
--- a/internal/standin/loopback.go
+++ b/internal/standin/loopback.go
@@ -43,12 +43,16 @@
 		http.Error(w, err.Error(), http.StatusBadGateway)
 		return
 	}
-	resp, err := n.client(r.URL.Path, body).Do(req)
+	client := n.client(r.URL.Path, body)
+	resp, err := client.Do(req)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadGateway)
 		return
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		defer client.CloseIdleConnections() // as a worker does that goes to another node
+	}
 	w.Header().Set("Retry-After", resp.Header.Get("Retry-After"))
 	w.WriteHeader(resp.StatusCode)
 	if _, err := io.Copy(w, resp.Body); err != nil {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"log/slog"
 	"net/http"
 	"sort"
 	"strconv"
@@ -85,10 +86,14 @@
 }
 
 func reply(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	if err := json.NewEncoder(w).Encode(body); err != nil {
-		panic(err)
+	if _, err := w.Write(data); err != nil {
+		slog.Debug("answer not written", "err", err)
 	}
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -129,24 +129,27 @@
 	k.node = k.w.Net.Chance(len(k.w.Nodes))
 	k.mu.Unlock()
 	go k.work()
-	every := k.w.Cfg.ReportEvery()
-	for {
-		next := every*3/4 + time.Duration(k.w.Net.Chance(int(every/2)))
-		select {
-		case <-k.stop:
-			return
-		case <-time.After(next):
-		case <-k.poke:
-			if !k.pause(200 * time.Millisecond) {
+	for k.awaitReport() && k.pause(k.hang()) {
+		for !k.report() {
+			// The next node is tried 1 s later.
+			if !k.pause(time.Second) || !k.pause(k.hang()) {
 				return
 			}
 		}
-		if !k.pause(k.hang()) {
-			return
-		}
-		if !k.report() && !k.pause(time.Second) {
-			return
-		}
+	}
+}
+
+// awaitReport waits until a report is due. It returns false if the machine has ended.
+func (k *Worker) awaitReport() bool {
+	every := k.w.Cfg.ReportEvery()
+	next := every*3/4 + time.Duration(k.w.Net.Chance(int(every/2)))
+	select {
+	case <-k.stop:
+		return false
+	case <-time.After(next):
+		return true
+	case <-k.poke:
+		return k.pause(200 * time.Millisecond)
 	}
 }
 
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -32,15 +32,15 @@
 	serial   int
 	specs    map[string]wire.Work
 	done     map[string]map[int]bool
-	on       map[string]map[string]bool // task: the machines it is on
-	aborted  map[string]time.Time       // when a user was told
-	asked    map[string]bool            // jobs that their users have asked to cancel
-	accepted map[string]time.Time       // when a user was told
-	final    map[string]finalWord       // what a user was told in the end
-	begins   map[string]time.Time       // when the first task of a job started
-	waits    map[string]time.Time       // since when a job waits although there is room
-	calm     time.Time                  // when all troubles were over
-	copies   [][]byte                   // reports that are kept for the next leader
+	on       occupancy
+	aborted  map[string]time.Time // when a user was told
+	asked    map[string]bool      // jobs that their users have asked to cancel
+	accepted map[string]time.Time // when a user was told
+	final    map[string]finalWord // what a user was told in the end
+	begins   map[string]time.Time // when the first task of a job started
+	waits    map[string]time.Time // since when a job waits although there is room
+	calm     time.Time            // when all troubles were over
+	copies   [][]byte             // reports that are kept for the next leader
 	keeping  bool
 	broken   []string
 	started  int
@@ -68,7 +68,7 @@
 func NewWorld(cfg *config.Config, nw *Network, nodes []string, cat wire.Catalog) *World {
 	w := &World{Cfg: cfg, Net: nw, State: NewState(), Catalog: cat, Nodes: nodes, begun: time.Now(), workers: map[string]*Worker{},
 		bookings: map[string][]string{}, specs: map[string]wire.Work{}, done: map[string]map[int]bool{},
-		on: map[string]map[string]bool{}, aborted: map[string]time.Time{}, asked: map[string]bool{}, accepted: map[string]time.Time{},
+		on: newOccupancy(), aborted: map[string]time.Time{}, asked: map[string]bool{}, accepted: map[string]time.Time{},
 		final: map[string]finalWord{}, waits: map[string]time.Time{}, begins: map[string]time.Time{}, Capacity: 12, PollEvery: 3 * time.Second}
 	w.State.Judge = w.judgeCommit
 	nw.Attach(cfg.Services.State, w.State, nil)
@@ -201,13 +201,10 @@
 	if _, begun := w.begins[uid]; !begun {
 		w.begins[uid] = time.Now()
 	}
-	if w.on[leg] == nil {
-		w.on[leg] = map[string]bool{}
+	if hosts := w.on.hosts[leg]; len(hosts) > 0 {
+		w.breach("ran_twice", "%s starts on %s and is on %v", leg, host, hosts)
 	}
-	if len(w.on[leg]) > 0 {
-		w.breach("ran_twice", "%s starts on %s and is on %v", leg, host, w.on[leg])
-	}
-	w.on[leg][host] = true
+	w.on.put(leg, host, &s)
 	w.judgeReleased(leg, &s)
 	if at, ok := w.aborted[uid]; ok {
 		w.lateStarts++
@@ -219,24 +216,31 @@
 		w.breach("wrong_place", "%s starts on %s (%s, %s, standby %v)", leg, host, rig, yard, standby)
 	}
 	yards := map[string]int{}
-	var cores, gpus float64
-	for other, hosts := range w.on {
-		ouid, _, _ := wire.SplitLeg(other)
-		if ouid == uid {
-			for h := range hosts {
-				yards[w.workers[h].Yard]++
-			}
+	w.on.eachOf(uid, func(hosts map[string]bool) {
+		for h := range hosts {
+			yards[w.workers[h].Yard]++
 		}
-		if w.specs[ouid].Crew == s.Crew {
-			cores += w.specs[ouid].Cores * float64(len(hosts))
-			gpus += w.specs[ouid].Gpus * float64(len(hosts))
-		}
-	}
+	})
 	if s.Together && len(yards) > 1 || s.Scatter && yards[yard] > (s.Legs+1)/2 {
 		w.breach("wrong_place", "%s starts on %s: zones %v", leg, host, yards)
 	}
-	if t, ok := w.Cfg.Team(s.Crew); ok && (t.CpusMax > 0 && cores > t.CpusMax || t.GpusMax > 0 && gpus > t.GpusMax) {
-		w.breach("quota", "%s uses %v cores and %v gpus", s.Crew, cores, gpus)
+	w.judgeQuota(s.Crew)
+}
+
+// judgeQuota checks that a team's tasks use no more than its limit. w.mu is held.
+func (w *World) judgeQuota(team string) {
+	t, ok := w.Cfg.Team(team)
+	if !ok || t.CpusMax <= 0 && t.GpusMax <= 0 {
+		return
+	}
+	var cores, gpus float64
+	for uid := range w.on.byTeam[team] {
+		on := float64(w.on.countOf(uid))
+		cores += w.specs[uid].Cores * on
+		gpus += w.specs[uid].Gpus * on
+	}
+	if t.CpusMax > 0 && cores > t.CpusMax || t.GpusMax > 0 && gpus > t.GpusMax {
+		w.breach("quota", "%s uses %v cores and %v gpus", team, cores, gpus)
 	}
 }
 
@@ -244,10 +248,7 @@
 func (w *World) End(leg, host string, completed bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	delete(w.on[leg], host)
-	if len(w.on[leg]) == 0 {
-		delete(w.on, leg)
-	}
+	w.on.take(leg, host)
 	if completed {
 		uid, n, _ := wire.SplitLeg(leg)
 		if w.done[uid] == nil {
@@ -264,7 +265,7 @@
 func (w *World) sweepCancelled() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for leg, hosts := range w.on {
+	for leg, hosts := range w.on.hosts {
 		uid, _, _ := wire.SplitLeg(leg)
 		if at, ok := w.aborted[uid]; ok && time.Since(at).Seconds() > w.Cfg.Cluster.Workers.CancelS {
 			w.breach("ran_cancelled", "%s is on %v, %.1f s after its user was told", leg, hosts, time.Since(at).Seconds())
