Followers keep workers of their zones and relay their reports to the leader in batches

At 2,700 machines every worker reports to the leader, which has 2,589 connections: users and operators wait behind workers. Their own zone's controller came last in their order after the leader; four tries at 5 s each are longer than a lease of 17.5 s.

Change: package relay. Once there are more workers than half of a node's connections, the leader's router sends each to a controller of its zone, or to the least loaded follower where there is none. A follower exchanges its workers' reports for the leader's answers, one batch in a twelfth of a report's interval; reports that repeat the one before are sent by reference. The leader decides every answer, the follower matches it by session and tick to the request that waits: the proofs of safety.md stay as they are. If the leader is not reached the follower keeps the leases, as before. A follower that is lost gives its machines time to find another.

Seen to fail: the zone cut without relays; the follower's end without the longer patience; reports taken without the check of what they repeat; answers not matched by tick.

Found on the way: late copies of reports moved workers in the router; the first machines of a lost follower were given up before pings told of its loss.

--- a/cmd/lotusstile/main.go
+++ b/cmd/lotusstile/main.go
@@ -26,7 +26,8 @@
 }
 
 type serveCmd struct {
-	Config string `required:"" type:"path" help:"Settings file (TOML)."`
+	Config        string `required:"" type:"path" help:"Settings file (TOML)."`
+	RelayCheckIns bool   `help:"Let followers keep workers and relay their reports in batches, once the fleet is too large for the connections of one controller."`
 }
 
 type checkCmd struct {
@@ -58,6 +59,7 @@
 	if err != nil {
 		return err
 	}
+	cfg.RelayCheckIns = s.RelayCheckIns
 	// The limit counts all that the process holds; half is left for what the
 	// runtime does not count and for bursts. Below that, memory is cheaper than
 	// the processor time of collections.
--- a/internal/api/admin.go
+++ b/internal/api/admin.go
@@ -11,8 +11,10 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v4"
 
+	"lotusstile.dev/lotusstile/internal/controller"
 	"lotusstile.dev/lotusstile/internal/election"
 	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/relay"
 	"lotusstile.dev/lotusstile/internal/store"
 	"lotusstile.dev/lotusstile/wire"
 )
@@ -78,8 +80,7 @@
 	v := n.elector.View()
 	st := wire.Status{Node: n.cfg.Label, State: n.elector.State().String(), Leader: v.Leader, Term: v.Term, Proof: min(n.store.ProofAge(), time.Hour).Seconds()}
 	if l := n.lead.Load(); l != nil {
-		lead := l.Status()
-		st.Lead = &lead
+		st.Lead = n.leadStatus(l)
 	} else if p := n.leader(); p != nil {
 		if lead, err := p.Lead(); err == nil {
 			st.Lead = lead
@@ -94,10 +95,25 @@
 	if l == nil || n.elector.State() == election.Following {
 		return nil
 	}
+	return n.leadStatus(l)
+}
+
+// leadStatus is how the leader's work stands, with who answers the workers.
+func (n *Node) leadStatus(l *controller.Controller) *wire.LeadStatus {
 	st := l.Status()
+	if router := n.relays.router.Load(); router != nil {
+		st.CheckIns, st.Workers = router.Mode().String(), router.Load()
+	}
 	return &st
 }
 
+// countRelayed counts reports by how they were relayed.
+func (n *Node) countRelayed(kind relay.ReportKind, reports int) {
+	if reports > 0 {
+		n.meters.GetOrCreateCounter(fmt.Sprintf(`lotusstile_relayed_reports_total{kind=%q}`, string(kind))).Add(reports)
+	}
+}
+
 func (n *Node) adminSettings(c echo.Context) error {
 	return c.JSON(http.StatusOK, n.settings.Load())
 }
--- a/internal/api/bench_test.go
+++ b/internal/api/bench_test.go
@@ -134,7 +134,7 @@
 	b.ReportAllocs()
 	b.ResetTimer()
 	for _, body := range bodies {
-		status, _ := n.answerReport(b.Context(), []byte(body), true)
+		status, _ := n.answerReport(b.Context(), []byte(body), source{direct: true})
 		if status != http.StatusOK {
 			b.Fatal(status)
 		}
--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -49,6 +49,7 @@
 	finals   finals
 	counts   taskCounts
 	version  *clusterversion.Tracker
+	relays   relays
 
 	mu       sync.Mutex
 	contacts map[string]contact   // by machine: how it was answered in the leader's place
@@ -98,6 +99,7 @@
 	defaults := ledger.DefaultSettings(cfg.Cluster.Workers.ReportS)
 	n.settings.Store(&defaults)
 	n.measure()
+	n.newRelays()
 	n.load.limit, n.load.most = cfg.ReportEvery()/2, int64(cfg.Cluster.Limits.MaxConnections/8)
 	n.echo = n.routes()
 	n.elector = election.New(n.store, cfg.Label, cfg.HoldTTL(), n.leadTerm)
@@ -148,6 +150,7 @@
 	go n.heartbeat(ctx)
 	go n.load.watch(ctx, n.cfg.Grid(), n.cfg.HoldTTL()/8)
 	go n.publishKept(ctx)
+	go n.relays.sender.Run(ctx)
 	for _, p := range n.peers {
 		go n.ping(ctx, p)
 	}
@@ -160,12 +163,16 @@
 }
 
 func (n *Node) leadTerm(ctx context.Context, term uint64) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	c := controller.New(controller.Deps{Config: n.cfg, Store: n.store, Cloud: n.cloud, Worker: n, Mirror: n.mirror,
 		Settings: func() wire.Settings { return *n.settings.Load() }, Rounded: n.rounded,
 		Version: n.version,
-		Saw:     func(t uint64) { n.elector.Saw(t, "") }, Heard: n.heard, Reached: n.reached}, term)
+		Saw:     func(t uint64) { n.elector.Saw(t, "") }, Heard: n.heard, Reached: n.reached, RelayReached: n.relayReached}, term)
 	n.lead.Store(c)
 	defer n.lead.Store(nil)
+	n.beginRelays(ctx, term)
+	defer n.endRelays()
 	c.Run(ctx)
 }
 
@@ -226,7 +233,9 @@
 	for ctx.Err() == nil {
 		args := peer.PingArgs{From: n.cfg.Label, Term: n.elector.View().Term, Version: int(clusterversion.Latest)}
 		args.CountsTerm, args.CountsRevision = n.counts.known(p.Label)
-		if r, err := p.Ping(args); err != nil {
+		r, err := p.Ping(args)
+		n.notePeer(p.Label, r, err == nil)
+		if err != nil {
 			slog.Debug("peer not reached", "peer", p.Label, "err", err)
 		} else if r.Leading {
 			n.counts.update(p.Label, args, r, n.mirror)
@@ -239,9 +248,10 @@
 
 // Ping answers a peer.
 func (n *Node) Ping(a peer.PingArgs) peer.PingReply {
-	r := peer.PingReply{Term: n.elector.View().Term, Serving: n.serving(), Heard: n.keptLately(), Version: int(clusterversion.Latest)}
+	r := peer.PingReply{Term: n.elector.View().Term, Serving: n.serving(), Heard: n.keptLately(), Version: int(clusterversion.Latest),
+		Relays: n.cfg.RelayCheckIns}
 	if c := n.lead.Load(); c != nil {
-		r.Leading, r.Term = true, c.Term()
+		r.Leading, r.Term, r.Relaying = true, c.Term(), n.relayMode()
 		if a.Term > c.Term() {
 			n.elector.Saw(a.Term, "")
 		}
--- a/internal/api/reports.go
+++ b/internal/api/reports.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return err
 	}
-	status, answer := n.answerReport(c.Request().Context(), body, true)
+	status, answer := n.answerReport(c.Request().Context(), body, source{direct: true})
 	if status == http.StatusServiceUnavailable {
 		c.Response().Header().Set(echo.HeaderRetryAfter, strconv.Itoa(1))
 	}
@@ -41,29 +41,61 @@
 	if n.lead.Load() == nil {
 		return peer.CheckInReply{Status: http.StatusMisdirectedRequest}
 	}
-	status, answer := n.answerReport(context.Background(), a.Body, false)
+	status, answer := n.answerReport(context.Background(), a.Body, source{})
 	return peer.CheckInReply{Status: status, Body: answer}
 }
 
-func (n *Node) answerReport(ctx context.Context, body []byte, direct bool) (int, []byte) {
+// source is how a report has come to this node.
+type source struct {
+	direct bool   // from the worker itself
+	relay  string // label of the follower that relays it in a batch; "": it is passed on singly
+}
+
+// decision is how a report is answered: one of the three beside status.
+type decision struct {
+	status   int
+	orders   *wire.Orders
+	redirect *wire.Redirect
+	fault    *wire.Fault
+}
+
+// body is the decision as it is sent to a worker.
+func (d *decision) body() []byte {
+	switch {
+	case d.orders != nil:
+		return encode(d.orders)
+	case d.redirect != nil:
+		return encode(d.redirect)
+	}
+	return encode(d.fault)
+}
+
+func (n *Node) answerReport(ctx context.Context, body []byte, from source) (int, []byte) {
 	r, err := wire.ParseReport(body)
 	if err != nil {
 		return http.StatusBadRequest, encode(wire.Fault{Error: err.Error()})
 	}
+	d := n.decide(ctx, &r, body, from)
+	return d.status, d.body()
+}
+
+// decide finds the answer to a report, whichever way it has come.
+func (n *Node) decide(ctx context.Context, r *wire.Report, body []byte, from source) decision {
+	stale := decision{status: http.StatusServiceUnavailable, fault: &errStale}
 	// What could not be answered in the end is not taken into the picture.
 	if n.tooOld(n.mirror.Fresh()) {
-		return http.StatusServiceUnavailable, encode(errStale)
+		return stale
 	}
-	o, to := n.orders(ctx, &r, body, direct)
+	o, to := n.orders(ctx, r, body, from)
 	switch {
 	case to != nil:
-		return http.StatusMisdirectedRequest, encode(to)
+		return decision{status: http.StatusMisdirectedRequest, redirect: to}
 	case o == nil:
-		return http.StatusServiceUnavailable, encode(wire.Fault{Error: "no term is known yet"})
-	case !n.renew(&r, o):
-		return http.StatusServiceUnavailable, encode(errStale)
+		return decision{status: http.StatusServiceUnavailable, fault: &wire.Fault{Error: "no answer can be given yet"}}
+	case !n.renew(r, o):
+		return stale
 	}
-	return http.StatusOK, encode(o)
+	return decision{status: http.StatusOK, orders: o}
 }
 
 var errStale = wire.Fault{Error: "what is known of withdrawals is too old to renew a lease on"}
@@ -121,18 +153,18 @@
 
 // orders finds the answer to a report: orders, or where else to report. With
 // neither, no term is known yet.
-func (n *Node) orders(ctx context.Context, r *wire.Report, body []byte, direct bool) (*wire.Orders, *wire.Redirect) {
+func (n *Node) orders(ctx context.Context, r *wire.Report, body []byte, from source) (*wire.Orders, *wire.Redirect) {
 	if c := n.lead.Load(); c != nil {
-		if o, ok := c.CheckIn(ctx, r, controller.CheckInOptions{Relayed: !direct, MayWait: direct && !n.load.behind.Load()}); ok {
-			return &o, nil
-		}
-		return nil, &wire.Redirect{}
+		return n.leaderOrders(ctx, c, r, from)
 	}
-	if !direct {
+	if !from.direct {
 		return nil, &wire.Redirect{}
 	}
 	if p := n.leader(); p != nil {
-		if !n.relays(r.Host) {
+		if n.relaying(p) {
+			return n.relayReport(ctx, p, r, body)
+		}
+		if !n.relaysSingly(r.Host) {
 			return nil, &wire.Redirect{Dispatcher: p.Label}
 		}
 		if reply, err := p.CheckIn(body); err == nil && reply.Status == http.StatusOK {
@@ -146,6 +178,25 @@
 	return n.keepLease(r)
 }
 
+// leaderOrders is the leader's own answer to a report.
+func (n *Node) leaderOrders(ctx context.Context, c *controller.Controller, r *wire.Report, from source) (*wire.Orders, *wire.Redirect) {
+	single := !from.direct && from.relay == ""
+	if !single {
+		at := from.relay
+		if from.direct {
+			at = n.cfg.Label
+		}
+		if to := n.route(r, at); to != "" {
+			return nil, &wire.Redirect{Dispatcher: to}
+		}
+	}
+	opts := controller.CheckInOptions{Relayed: single, Via: from.relay, MayWait: !single && !n.load.behind.Load()}
+	if o, ok := c.CheckIn(ctx, r, opts); ok {
+		return &o, nil
+	}
+	return nil, &wire.Redirect{}
+}
+
 // contact is how a follower has answered a machine.
 type contact struct {
 	relayed    time.Time // the first report was relayed
@@ -153,11 +204,11 @@
 	until      time.Time // it came back from there: its reports are relayed till then
 }
 
-// relays decides whether a machine's report is relayed to the leader or the
+// relaysSingly decides whether a machine's report is relayed to the leader or the
 // machine is sent there. A machine that comes may have lost seconds of its
 // lease to a leader that it cannot reach, and would lose as many again: its
 // first report is relayed. If it comes back from the leader, so are the next.
-func (n *Node) relays(host string) bool {
+func (n *Node) relaysSingly(host string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now, lease := time.Now(), n.cfg.Lease()
--- a/internal/api/reports_test.go
+++ b/internal/api/reports_test.go
@@ -63,7 +63,7 @@
 		if n.renew(&report, &wire.Orders{}) { // 30 s + a lease would be over before 40 s by nothing
 			t.Error("renewed on knowledge of 30 s")
 		}
-		if status, _ := n.answerReport(t.Context(), []byte(`{"Host":"m","Address":"m:1","Rig":"g","Yard":"a","Shift":1,"Tick":1,"Legs":[]}`), true); status != http.StatusServiceUnavailable {
+		if status, _ := n.answerReport(t.Context(), []byte(`{"Host":"m","Address":"m:1","Rig":"g","Yard":"a","Shift":1,"Tick":1,"Legs":[]}`), source{direct: true}); status != http.StatusServiceUnavailable {
 			t.Errorf("answered %d", status)
 		}
 	})
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -69,7 +69,10 @@
 		Cloud string `toml:"cloud"`
 		State string `toml:"state"`
 	} `toml:"services"`
-	Cluster struct {
+	// RelayCheckIns lets followers keep workers and relay their reports in batches once
+	// the fleet is large. It is set on the command line.
+	RelayCheckIns bool `toml:"-"`
+	Cluster       struct {
 		Size       int         `toml:"size"`
 		Zones      []string    `toml:"zones"`
 		SkewMs     float64     `toml:"skew_ms"`
--- a/internal/controller/checkin.go
+++ b/internal/controller/checkin.go
@@ -12,6 +12,9 @@
 type CheckInOptions struct {
 	// Relayed: another controller passes the report on.
 	Relayed bool
+	// Via is the follower that keeps the worker and relays its reports in batches; ""
+	// if there is none.
+	Via string
 	// MayWait: an answer without commands may wait for some to come up. The lease
 	// runs from when the report was sent, so the wait costs it nothing.
 	MayWait bool
@@ -39,6 +42,7 @@
 		return o, true
 	}
 	c.capacity(m)
+	m.Via = opts.Via
 	if opts.Relayed {
 		m.Relayed = now
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -61,6 +61,8 @@
 	Heard    func() []string     // machines that peers answer
 	Reached  func() []string     // zones of the controllers that are reached, this one included
 	Rounded  func(time.Duration) // a round took this long
+	// RelayReached reports whether a follower that relays reports answers.
+	RelayReached func(label string) bool
 }
 
 // Controller leads one term.
@@ -95,6 +97,7 @@
 	cutOff         map[string]time.Time     // by zone: when most of it was last silent
 	noted          map[string]imageNote     // which images of a machine are recorded
 	spareMachines  map[string]bool          // machines kept as spare room by the last round
+	relayLost      map[string]time.Time     // by follower that relays reports: when it was last not reached
 	last           wire.RoundStatus
 	lastAt         time.Time
 	steady         time.Time
@@ -107,7 +110,7 @@
 	c := &Controller{Deps: d, term: term, wake: make(chan struct{}, 1), news: make(chan struct{}, 1), returnsWake: make(chan struct{}, 1),
 		resolveWake: make(chan struct{}, 1), now: time.Now,
 		jobs: map[string]*job{}, graph: pipeline.New(), pending: map[string]*rental{}, refused: map[provision.Group]refusal{},
-		arrive: map[string]*arrivals{}, cutOff: map[string]time.Time{}, noted: map[string]imageNote{}, announced: map[string]time.Time{}, waitingAnswers: map[string]chan struct{}{}}
+		arrive: map[string]*arrivals{}, cutOff: map[string]time.Time{}, noted: map[string]imageNote{}, announced: map[string]time.Time{}, waitingAnswers: map[string]chan struct{}{}, relayLost: map[string]time.Time{}}
 	c.fleet = fleet.New(term, d.Config.Lease(), c)
 	c.returns = map[string]*pendingReturn{}
 	c.countsRevision = 1
--- a/internal/controller/lost.go
+++ b/internal/controller/lost.go
@@ -118,6 +118,23 @@
 	return zones
 }
 
+// noteLostRelays notes which of the followers that relay reports are not reached, or have
+// relayed nothing for half of a report's interval: pings tell of the loss only after the
+// first of its machines have been silent for three intervals.
+func (c *Controller) noteLostRelays(now time.Time) {
+	newest := map[string]time.Time{}
+	c.fleet.Each(func(m *fleet.Machine) {
+		if m.Via != "" && m.Reported.After(newest[m.Via]) {
+			newest[m.Via] = m.Reported
+		}
+	})
+	for via, reported := range newest {
+		if now.Sub(reported) > c.Config.ReportEvery()/2 || !c.RelayReached(via) {
+			c.relayLost[via] = now
+		}
+	}
+}
+
 // workerTry is what a node that does not answer costs a worker, as the protocol
 // has it: it waits 4 s for the answer and tries the next node 1 s later.
 const workerTry = 5 * time.Second
@@ -155,6 +172,15 @@
 		// gave up no more than an eighth, but after three intervals.
 		part, patience = 8, max(patience, search+every/2)
 	}
+	c.noteLostRelays(now)
+	patienceWith := func(m *fleet.Machine) time.Duration {
+		if at, ok := c.relayLost[m.Via]; ok && now.Sub(at) < lease {
+			// It looks for another node; its last answer may have waited for
+			// commands, and for the next batch.
+			return max(patience, search+3*every/2)
+		}
+		return patience
+	}
 	lost := func(m *fleet.Machine) bool {
 		z := zones[m.Yard]
 		return !cutOff(m) && z.silent <= max(1, z.total/part)
@@ -170,7 +196,7 @@
 			c.startReturn(m, now, "failed")
 		case m.State == fleet.Silent && (!cutOff(m) || now.Sub(m.Heard) > over):
 			c.startReturn(m, now, "silent")
-		case lost(m) && (m.State == fleet.Ready && now.Sub(c.steady) > lease && now.Sub(m.Heard) > patience ||
+		case lost(m) && (m.State == fleet.Ready && now.Sub(c.steady) > lease && now.Sub(m.Heard) > patienceWith(m) ||
 			m.State == fleet.Booting && m.LiveCount() > 0 && now.Sub(m.Heard) > search):
 			// Some machines fall silent while the others go on: they have
 			// stopped, hang or are cut off, and by the time they come back
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -39,6 +39,19 @@
 	return j.done, j.running(), true
 }
 
+// Machines names the machines that are not gone; known is false until all is loaded.
+func (c *Controller) Machines() (hosts map[string]bool, known bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	hosts = make(map[string]bool, c.fleet.Size())
+	c.fleet.Each(func(m *fleet.Machine) {
+		if m.State != fleet.Gone && m.State != fleet.Returning {
+			hosts[m.ID] = true
+		}
+	})
+	return hosts, c.loaded
+}
+
 // Status tells how the leader's work stands.
 func (c *Controller) Status() wire.LeadStatus {
 	c.mu.Lock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -129,6 +129,7 @@
 	Heard          time.Time // last report, here or at another node
 	Reported       time.Time // last report here
 	Relayed        time.Time // last report that another node relayed here
+	Via            string    // follower that keeps it and relays its reports; "": none
 	Since          time.Time // of the last change of state
 	Born           time.Time // when it was first known
 	Listed         bool
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -40,7 +40,9 @@
 	// since the caller's revision, and the revision that they lead to.
 	Counts         []wire.JobView
 	CountsRevision uint64
-	Version        int // cluster version that the callee understands; 0: an older release
+	Version        int  // cluster version that the callee understands; 0: an older release
+	Relays         bool // can relay reports of workers in batches
+	Relaying       bool // leads, and wants its followers to keep workers and to relay their reports
 }
 
 // CountsArgs asks the leader for a job's counts.
@@ -93,6 +95,7 @@
 	Ping(a PingArgs) PingReply
 	Counts(a CountsArgs) CountsReply
 	RelayCheckIn(a CheckInArgs) CheckInReply
+	RelayReports(a RelayArgs) (RelayReply, error)
 }
 
 // Node is the net/rpc service.
--- /dev/null
+++ b/internal/relay/batch.go
@@ -0,0 +1,83 @@
+package relay
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/klauspost/compress/s2"
+
+	"lotusstile.dev/lotusstile/internal/peer"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// maxBatchBytes is how much a batch may hold of reports that are sent in full, before
+// compression. What is over it goes with the next batch.
+const maxBatchBytes = 16 * wire.MaxBody
+
+// batch collects reports until they are sent.
+type batch struct {
+	reports []peer.RelayedReport
+	bodies  []byte
+}
+
+// full reports whether another report has to wait for the next batch.
+func (b *batch) full() bool { return len(b.bodies) >= maxBatchBytes-wire.MaxBody }
+
+// repeat adds a report that differs from an earlier one in nothing but its tick.
+func (b *batch) repeat(r, earlier *wire.Report) {
+	b.reports = append(b.reports, peer.RelayedReport{Host: r.Host, Shift: r.Shift, Tick: r.Tick, Repeats: earlier.Tick})
+}
+
+// add adds a report in full.
+func (b *batch) add(r *wire.Report, body []byte) {
+	b.reports = append(b.reports, peer.RelayedReport{Host: r.Host, Shift: r.Shift, Tick: r.Tick, Size: len(body)})
+	b.bodies = append(b.bodies, body...)
+}
+
+// args is the batch as it is sent.
+func (b *batch) args(from string, term uint64) peer.RelayArgs {
+	args := peer.RelayArgs{From: from, Term: term, Reports: b.reports}
+	if len(b.bodies) > 0 {
+		args.Bodies = s2.Encode(nil, b.bodies)
+	}
+	return args
+}
+
+// bodiesOf takes a received batch apart: one body for each report, nil for those that
+// repeat an earlier one.
+func bodiesOf(args *peer.RelayArgs) ([][]byte, error) {
+	want := 0
+	for i := range args.Reports {
+		size := args.Reports[i].Size
+		if size < 0 || size > wire.MaxBody || (size == 0) != (args.Reports[i].Repeats > 0) {
+			return nil, fmt.Errorf("%w: report %d of %d bytes", ErrMalformedBatch, i, size)
+		}
+		want += size
+	}
+	var data []byte
+	if want > 0 {
+		size, err := s2.DecodedLen(args.Bodies)
+		if err != nil || size != want || size > maxBatchBytes {
+			return nil, fmt.Errorf("%w: %d bytes of bodies, want %d: %v", ErrMalformedBatch, size, want, err)
+		}
+		if data, err = s2.Decode(nil, args.Bodies); err != nil {
+			return nil, fmt.Errorf("%w: %v", ErrMalformedBatch, err)
+		}
+	}
+	bodies := make([][]byte, len(args.Reports))
+	for i := range args.Reports {
+		if size := args.Reports[i].Size; size > 0 {
+			bodies[i], data = data[:size], data[size:]
+		}
+	}
+	return bodies, nil
+}
+
+// sameButTick reports whether two reports of a worker say the same in the same session.
+func sameButTick(a, b *wire.Report) bool {
+	if a.WarningS != nil || b.WarningS != nil {
+		return false // the notice runs down
+	}
+	return a.Host == b.Host && a.Address == b.Address && a.Rig == b.Rig && a.Yard == b.Yard && a.Standby == b.Standby &&
+		a.Shift == b.Shift && a.Baton == b.Baton && slices.Equal(a.Legs, b.Legs)
+}
--- /dev/null
+++ b/internal/relay/receiver.go
@@ -0,0 +1,141 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/puzpuzpuz/xsync/v4"
+
+	"lotusstile.dev/lotusstile/internal/peer"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// AnswerFunc decides the answer to a report that a follower relays. It may wait for
+// commands to come up.
+type AnswerFunc func(ctx context.Context, r *wire.Report, relay string) peer.RelayedAnswer
+
+// Receiver answers the batches of a leader's followers, for one term.
+type Receiver struct {
+	ctx    context.Context // ends with the term
+	term   uint64
+	answer AnswerFunc
+	// bases holds by host the last report that was taken: what the next may repeat.
+	bases *xsync.Map[string, *wire.Report]
+
+	mu       sync.Mutex
+	outboxes map[string]map[string]peer.RelayedAnswer // by relay and host: answers that are ready
+}
+
+// NewReceiver makes the receiver of a term. members are the labels of the other nodes.
+func NewReceiver(ctx context.Context, term uint64, members []string, answer AnswerFunc) *Receiver {
+	v := &Receiver{ctx: ctx, term: term, answer: answer, bases: xsync.NewMap[string, *wire.Report](), outboxes: map[string]map[string]peer.RelayedAnswer{}}
+	for _, label := range members {
+		v.outboxes[label] = map[string]peer.RelayedAnswer{}
+	}
+	return v
+}
+
+// Exchange takes a batch and returns the answers that are ready for its sender.
+func (v *Receiver) Exchange(args peer.RelayArgs) (peer.RelayReply, error) {
+	reply := peer.RelayReply{Term: v.term}
+	if args.Term != v.term || v.ctx.Err() != nil {
+		return reply, nil
+	}
+	if !v.known(args.From) {
+		return reply, ErrUnknownRelay
+	}
+	bodies, err := bodiesOf(&args)
+	if err != nil {
+		slog.Error("batch refused", "relay", args.From, "err", err)
+		return reply, err
+	}
+	reply.Leading = true
+	for i, body := range bodies {
+		head := &args.Reports[i]
+		report, err := v.resolve(head, body)
+		switch {
+		case err != nil:
+			v.deliver(args.From, peer.RelayedAnswer{Host: head.Host, Shift: head.Shift, Tick: head.Tick, Status: http.StatusBadRequest})
+		case report == nil:
+			reply.Resend = append(reply.Resend, head.Host)
+		default:
+			go func() { v.deliver(args.From, v.answer(v.ctx, report, args.From)) }()
+		}
+	}
+	reply.Answers = v.takeAnswers(args.From)
+	return reply, nil
+}
+
+// resolve makes the report that a batch holds in full or by reference. It returns nil
+// if the report is needed in full.
+func (v *Receiver) resolve(head *peer.RelayedReport, body []byte) (*wire.Report, error) {
+	if head.Repeats > 0 {
+		base, ok := v.bases.Load(head.Host)
+		if !ok || base.Shift != head.Shift || base.Tick != head.Repeats {
+			return nil, nil
+		}
+		report := *base
+		report.Tick = head.Tick
+		v.bases.Store(head.Host, &report)
+		return &report, nil
+	}
+	report, err := wire.ParseReport(body)
+	if err != nil {
+		return nil, err
+	}
+	if report.Host != head.Host || report.Shift != head.Shift || report.Tick != head.Tick {
+		return nil, ErrMalformedBatch
+	}
+	v.bases.Store(report.Host, &report)
+	return &report, nil
+}
+
+// Forget drops what is kept of the hosts that are not there any more.
+func (v *Receiver) Forget(there func(host string) bool) {
+	v.bases.Range(func(host string, _ *wire.Report) bool {
+		if !there(host) {
+			v.bases.Delete(host)
+		}
+		return true
+	})
+}
+
+func (v *Receiver) known(relay string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_, ok := v.outboxes[relay]
+	return ok
+}
+
+// deliver keeps an answer until its relay asks for it. A newer one of the same host
+// takes its place: the worker waits for that one only.
+func (v *Receiver) deliver(relay string, a peer.RelayedAnswer) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	old, ok := v.outboxes[relay][a.Host]
+	if ok && (old.Shift > a.Shift || old.Shift == a.Shift && old.Tick > a.Tick) {
+		return
+	}
+	v.outboxes[relay][a.Host] = a
+}
+
+// takeAnswers takes all that is ready for a relay.
+func (v *Receiver) takeAnswers(relay string) []peer.RelayedAnswer {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	ready := v.outboxes[relay]
+	if len(ready) == 0 {
+		return nil
+	}
+	answers := make([]peer.RelayedAnswer, 0, len(ready))
+	for _, a := range ready {
+		answers = append(answers, a)
+	}
+	clear(ready)
+	slices.SortFunc(answers, func(a, b peer.RelayedAnswer) int { return strings.Compare(a.Host, b.Host) })
+	return answers
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,305 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"reflect"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/klauspost/compress/s2"
+	"pgregory.net/rapid"
+
+	"lotusstile.dev/lotusstile/internal/peer"
+	"lotusstile.dev/lotusstile/internal/tick"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// testSender is a sender that batches once in 250 ms.
+func testSender(exchange ExchangeFunc) *Sender {
+	return NewSender(SenderConfig{Label: "n1", Exchange: exchange, Grid: tick.Grid{Unit: 250 * time.Millisecond}, Period: 250 * time.Millisecond,
+		Patience: 3 * time.Second, Observe: func(ReportKind, int) {}})
+}
+
+func bodyOf(t *rapid.T, r *wire.Report) []byte {
+	data, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// generateReport draws what a worker says next: often the same as before.
+func generateReport(t *rapid.T, last *wire.Report) wire.Report {
+	r := *last
+	r.Tick += uint64(rapid.IntRange(1, 3).Draw(t, "ticks"))
+	switch rapid.IntRange(0, 5).Draw(t, "change") {
+	case 0:
+		r.Legs = append([]wire.LegReport{}, wire.LegReport{Leg: "run-000001/0", Try: uint64(rapid.IntRange(1, 3).Draw(t, "try")), Status: wire.LegRunning})
+	case 1:
+		r.Legs = []wire.LegReport{}
+	case 2:
+		r.Shift++
+		r.Legs = []wire.LegReport{}
+	case 3:
+		r.Baton = uint64(rapid.IntRange(1, 9).Draw(t, "baton"))
+	}
+	return r
+}
+
+// exchangeFault is what happens to a batch on its way.
+type exchangeFault int
+
+const (
+	whole exchangeFault = iota
+	requestLost
+	replyLost
+)
+
+// Whatever is lost between followers and leader, and whichever follower a worker reports to,
+// the leader takes each report as its worker sent it, a repeated one too, and each worker is given the answer to its own report: it
+// names the session and tick, and the launch in it is of the report's try.
+func TestReportsArriveAsSent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const hosts = 3
+		var mu sync.Mutex
+		sentReports := map[string]wire.Report{} // by host, session and tick
+		keyOf := func(host string, shift, tick uint64) string { return fmt.Sprintf("%s %d %d", host, shift, tick) }
+		var wrong []string
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		newReceiver := func(term uint64) *Receiver {
+			return NewReceiver(ctx, term, []string{"n1", "n2"}, func(_ context.Context, r *wire.Report, _ string) peer.RelayedAnswer {
+				mu.Lock()
+				defer mu.Unlock()
+				want := sentReports[keyOf(r.Host, r.Shift, r.Tick)]
+				if !reflect.DeepEqual(*r, want) {
+					wrong = append(wrong, fmt.Sprintf("took %+v, sent was %+v", *r, want))
+				}
+				return peer.RelayedAnswer{Host: r.Host, Shift: r.Shift, Tick: r.Tick, Status: http.StatusOK,
+					Orders: wire.Orders{Baton: term, Orders: []wire.Order{{Verb: wire.Launch, Leg: r.Host + "/0", Try: r.Tick}}}}
+			})
+		}
+		receiver := newReceiver(1)
+		fault := whole
+		exchange := func(_ Leader, args peer.RelayArgs) (peer.RelayReply, error) {
+			if fault == requestLost {
+				return peer.RelayReply{}, errors.New("lost")
+			}
+			reply, err := receiver.Exchange(args)
+			time.Sleep(time.Millisecond) // the answers of this batch come with a later one
+			if fault == replyLost {
+				return peer.RelayReply{}, errors.New("lost")
+			}
+			return reply, err
+		}
+		senders := []*Sender{testSender(exchange), testSender(exchange)}
+		senders[1].Label = "n2"
+		last := map[string]*wire.Report{}
+		for i := range hosts {
+			host := fmt.Sprintf("m-%d", i)
+			last[host] = &wire.Report{Host: host, Address: host, Shift: 1, Legs: []wire.LegReport{}}
+		}
+		var waiting []*pendingReport
+		term := uint64(1)
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			host := fmt.Sprintf("m-%d", rapid.IntRange(0, hosts-1).Draw(t, "host"))
+			r := generateReport(t, last[host])
+			last[host] = &r
+			mu.Lock()
+			sentReports[keyOf(r.Host, r.Shift, r.Tick)] = r
+			mu.Unlock()
+			if rapid.IntRange(0, 15).Draw(t, "leader") == 15 {
+				term++
+				receiver = newReceiver(term)
+			}
+			p := &pendingReport{report: &r, body: bodyOf(t, &r), result: make(chan result, 1)}
+			s := senders[rapid.IntRange(0, 1).Draw(t, "follower")]
+			if err := s.add(Leader{Label: "n0", Term: term}, p); err != nil {
+				t.Fatal(err)
+			}
+			waiting = append(waiting, p)
+			fault = rapid.SampledFrom([]exchangeFault{whole, whole, whole, whole, whole, whole, requestLost, replyLost}).Draw(t, "fault")
+			s.exchange()
+		}
+		fault = whole
+		for _, s := range senders {
+			s.mu.Lock()
+			if s.leader.Term < term {
+				s.fail(ErrLeaderNotReached)
+			}
+			s.mu.Unlock()
+			for range 3 {
+				s.exchange()
+			}
+			if s.waiting() {
+				t.Fatal("reports are left without a result")
+			}
+		}
+		for _, p := range waiting {
+			res := <-p.result
+			if res.err != nil {
+				continue // the leader was not reached: the node keeps the lease
+			}
+			a := res.answer
+			if a.Host != p.report.Host || a.Shift != p.report.Shift || a.Tick != p.report.Tick || a.Orders.Orders[0].Try != a.Tick {
+				t.Fatalf("the report %+v is answered %+v", p.report, a)
+			}
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if len(wrong) > 0 {
+			t.Fatal(wrong[0])
+		}
+	})
+}
+
+// A report whose base the leader does not have, as after a lost batch, is sent again in
+// full and answered: it is not taken for another one, and not lost.
+func TestUnknownBaseIsSentInFull(t *testing.T) {
+	receiver := NewReceiver(context.Background(), 1, []string{"n1"}, echoAnswer)
+	kinds := map[ReportKind]int{}
+	s := testSender(func(_ Leader, args peer.RelayArgs) (peer.RelayReply, error) {
+		reply, err := receiver.Exchange(args)
+		time.Sleep(time.Millisecond)
+		return reply, err
+	})
+	s.Observe = func(kind ReportKind, n int) { kinds[kind] += n }
+	for tick := uint64(1); tick <= 3; tick++ {
+		if tick == 3 {
+			receiver.Forget(func(string) bool { return false })
+		}
+		r := wire.Report{Host: "m", Shift: 1, Tick: tick, Legs: []wire.LegReport{}}
+		p := &pendingReport{report: &r, body: []byte(fmt.Sprintf(`{"Host":"m","Shift":1,"Tick":%d,"Legs":[]}`, tick)), result: make(chan result, 1)}
+		if err := s.add(Leader{"n0", 1}, p); err != nil {
+			t.Fatal(err)
+		}
+		for range 3 {
+			s.exchange()
+		}
+		if res := <-p.result; res.err != nil || res.answer.Tick != tick {
+			t.Errorf("report %d ends with %+v", tick, res)
+		}
+	}
+	want := map[ReportKind]int{KindFull: 2, KindRepeated: 2, KindResent: 1}
+	for kind, n := range want {
+		if kinds[kind] != n {
+			t.Errorf("%d reports are %s, want %d", kinds[kind], kind, n)
+		}
+	}
+}
+
+func echoAnswer(_ context.Context, r *wire.Report, _ string) peer.RelayedAnswer {
+	return peer.RelayedAnswer{Host: r.Host, Shift: r.Shift, Tick: r.Tick, Status: http.StatusOK}
+}
+
+// What waits for a leader that is replaced, does not answer in time or is asked by a
+// worker that has gone on ends with an error of its own, at once or at the patience's end.
+func TestReportsThatGetNoAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		silent := func(Leader, peer.RelayArgs) (peer.RelayReply, error) { return peer.RelayReply{Leading: true}, nil }
+		s := testSender(silent)
+		go s.Run(ctx)
+		report := func(to Leader, tick uint64) (took time.Duration, err error) {
+			began := time.Now()
+			_, err = s.Report(ctx, to, &wire.Report{Host: "m", Shift: 1, Tick: tick}, []byte("{}"))
+			return time.Since(began), err
+		}
+		if took, err := report(Leader{"n0", 2}, 1); !errors.Is(err, ErrNoAnswer) || took != s.Patience {
+			t.Errorf("without an answer: %v after %s", err, took)
+		}
+		if took, err := report(Leader{"n9", 1}, 2); !errors.Is(err, ErrLeaderNotReached) || took != 0 {
+			t.Errorf("a leader of an older term: %v after %s", err, took)
+		}
+		for _, tc := range []struct {
+			name string
+			to   Leader
+			tick uint64
+			want error
+		}{
+			{"a newer report", Leader{"n0", 2}, 11, ErrSuperseded},
+			{"a newer leader", Leader{"n2", 3}, 12, ErrLeaderNotReached},
+		} {
+			first := make(chan error, 1)
+			go func() { _, err := report(s.leader, 10); first <- err }()
+			time.Sleep(time.Second)
+			go func() { _, _ = report(tc.to, tc.tick) }()
+			time.Sleep(time.Millisecond)
+			select {
+			case err := <-first:
+				if !errors.Is(err, tc.want) {
+					t.Errorf("%s: %v", tc.name, err)
+				}
+			default:
+				t.Errorf("%s: the older report still waits", tc.name)
+			}
+			time.Sleep(2 * s.Patience)
+		}
+		s.Exchange = func(Leader, peer.RelayArgs) (peer.RelayReply, error) { return peer.RelayReply{}, errors.New("refused") }
+		if took, err := report(Leader{"n2", 3}, 20); !errors.Is(err, ErrLeaderNotReached) || took > s.Period {
+			t.Errorf("a leader that refuses: %v after %s", err, took)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// A batch that cannot be taken apart, or comes from a stranger, is refused whole with an
+// error; one bad report in a batch is answered 400, and the others are taken.
+func TestMalformedBatches(t *testing.T) {
+	v := NewReceiver(context.Background(), 1, []string{"n1"}, echoAnswer)
+	body := []byte(`{"Host":"m","Shift":1,"Tick":1,"Legs":[]}`)
+	whole := peer.RelayArgs{From: "n1", Term: 1, Reports: []peer.RelayedReport{{Host: "m", Shift: 1, Tick: 1, Size: len(body)}}, Bodies: s2.Encode(nil, body)}
+	change := func(f func(a *peer.RelayArgs)) peer.RelayArgs {
+		a := whole
+		a.Reports = append([]peer.RelayedReport{}, whole.Reports...)
+		f(&a)
+		return a
+	}
+	for _, tc := range []struct {
+		name string
+		args peer.RelayArgs
+		want error
+	}{
+		{"truncated", change(func(a *peer.RelayArgs) { a.Bodies = a.Bodies[:len(a.Bodies)-2] }), ErrMalformedBatch},
+		{"no bodies", change(func(a *peer.RelayArgs) { a.Bodies = nil }), ErrMalformedBatch},
+		{"a size below 0", change(func(a *peer.RelayArgs) { a.Reports[0].Size = -1 }), ErrMalformedBatch},
+		{"a size over a body's", change(func(a *peer.RelayArgs) { a.Reports[0].Size = wire.MaxBody + 1 }), ErrMalformedBatch},
+		{"neither in full nor repeated", change(func(a *peer.RelayArgs) { a.Reports[0].Size = 0 }), ErrMalformedBatch},
+		{"both", change(func(a *peer.RelayArgs) { a.Reports[0].Repeats = 1 }), ErrMalformedBatch},
+		{"more decoded than said", change(func(a *peer.RelayArgs) { a.Bodies = s2.Encode(nil, make([]byte, 10<<20)) }), ErrMalformedBatch},
+		{"a stranger", change(func(a *peer.RelayArgs) { a.From = "n7" }), ErrUnknownRelay},
+	} {
+		if reply, err := v.Exchange(tc.args); !errors.Is(err, tc.want) || reply.Leading {
+			t.Errorf("%s: %+v, %v", tc.name, reply, err)
+		}
+	}
+	if reply, err := v.Exchange(change(func(a *peer.RelayArgs) { a.Term = 2 })); err != nil || reply.Leading {
+		t.Errorf("another term: %+v, %v", reply, err)
+	}
+	mixed := whole
+	bad := []byte(`{"Host":7}`)
+	mixed.Reports = append([]peer.RelayedReport{{Host: "x", Shift: 1, Tick: 1, Size: len(bad)}, {Host: "y", Shift: 1, Tick: 1, Size: len(body)}}, whole.Reports...)
+	mixed.Bodies = s2.Encode(nil, append(append(append([]byte{}, bad...), body...), body...))
+	status := map[string]int{}
+	for _, args := range []peer.RelayArgs{mixed, {From: "n1", Term: 1}} {
+		reply, err := v.Exchange(args)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, a := range reply.Answers {
+			status[a.Host] = a.Status
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if want := map[string]int{"m": 200, "x": 400, "y": 400}; !reflect.DeepEqual(status, want) {
+		t.Errorf("answers %v, want %v", status, want)
+	}
+}
--- a/internal/standin/day_test.go
+++ b/internal/standin/day_test.go
@@ -97,6 +97,9 @@
 	stops [3]context.CancelFunc
 	old   [3]bool                 // nodes of the release before cluster version 2
 	next  *config.NextStateLimits // what the nodes are told of the state service's limits
+	// relayConnections, if above 0, lets followers relay reports, with so many connections
+	// to a node.
+	relayConnections int
 }
 
 func newDay(t testing.TB, seed uint64, prepare ...func(d *day)) *day {
@@ -117,6 +120,9 @@
 	}
 	cfg := nodeConfig(d.t, i)
 	cfg.Cluster.State.Next = d.next
+	if d.relayConnections > 0 {
+		cfg.RelayCheckIns, cfg.Cluster.Limits.MaxConnections = true, d.relayConnections
+	}
 	l := labels[i]
 	ctx, cancel := context.WithCancel(context.Background())
 	state := d.net.Port(l)
@@ -290,9 +296,9 @@
 }
 
 // play plays a day of faults by chance and returns the rules it broke.
-func play(t *testing.T, seed uint64, faults int) (broken []string, started int) {
+func play(t *testing.T, seed uint64, faults int, prepare ...func(d *day)) (broken []string, started int) {
 	synctest.Test(t, func(t *testing.T) {
-		d := newDay(t, seed)
+		d := newDay(t, seed, prepare...)
 		r := rand.New(rand.NewPCG(seed, 2))
 		d.w.AddMachines("g8", "a", 2)
 		d.w.AddMachines("g8", "b", 2)
--- /dev/null
+++ b/internal/standin/relays_test.go
@@ -0,0 +1,259 @@
+package standin_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/api"
+	"lotusstile.dev/lotusstile/internal/config"
+	"lotusstile.dev/lotusstile/internal/peer"
+	"lotusstile.dev/lotusstile/internal/standin"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// relayConnections are so few that followers relay reports once there are more than
+// eight workers.
+const relayConnections = 16
+
+// withRelays lets the followers of a day relay reports.
+func withRelays(d *day) { d.relayConnections = relayConnections }
+
+// The rules hold on days of all faults by chance while followers keep workers and relay
+// their reports, also while the fleet grows and shrinks past the limit for that.
+func TestRulesHoldWithRelays(t *testing.T) {
+	quiet(t)
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			broken, started := play(t, 500+seed, int(3+seed%12), withRelays)
+			if started == 0 {
+				t.Error("no task was started")
+			}
+			if len(broken) > 0 {
+				t.Errorf("%d rules broken:\n%s", len(broken), strings.Join(broken, "\n"))
+			}
+		})
+	}
+}
+
+// site is controllers and workers in zones of their own.
+type site struct {
+	t      *testing.T
+	net    *standin.Network
+	world  *standin.World
+	labels []string
+	stops  []context.CancelFunc
+	relays bool
+}
+
+const (
+	siteZones     = 5
+	workersOfZone = 8
+)
+
+func zoneName(i int) string { return string(rune('a' + i)) }
+
+// newSite starts a controller in each of five zones, and eight workers in each.
+func newSite(t *testing.T, relays bool) *site {
+	s := &site{t: t, net: standin.NewNetwork(rand.New(rand.NewPCG(9, 1))), relays: relays, stops: make([]context.CancelFunc, siteZones)}
+	for i := range siteZones {
+		s.labels = append(s.labels, fmt.Sprintf("n%d", i))
+	}
+	rig := catalog.Rigs[1]
+	rig.Yards = nil
+	for i := range siteZones {
+		rig.Yards = append(rig.Yards, zoneName(i))
+	}
+	s.world = standin.NewWorld(s.config(0), s.net, s.labels, wire.Catalog{Rigs: []wire.Rig{rig}})
+	s.world.Capacity = 2 * siteZones * workersOfZone
+	for i := range s.labels {
+		s.start(i)
+	}
+	time.Sleep(3 * time.Second)
+	for i := range siteZones {
+		s.world.AddMachines(rig.Sku, zoneName(i), workersOfZone)
+	}
+	return s
+}
+
+func (s *site) config(i int) *config.Config {
+	s.t.Helper()
+	members := ""
+	for k, l := range s.labels {
+		if k != i {
+			members += fmt.Sprintf("[[members]]\nlabel = %q\nlocation = %q\nendpoint = \"%s:81\"\n", l, zoneName(k), l)
+		}
+	}
+	l := s.labels[i]
+	cfg, err := config.Parse([]byte(fmt.Sprintf(settings, l, zoneName(i), l, l, members)))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	cfg.RelayCheckIns = s.relays
+	cfg.Cluster.Limits.MaxConnections = 72 // relayed above 36 workers; 18 of them at the leader, 36 at a follower
+	return cfg
+}
+
+func (s *site) start(i int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := s.labels[i]
+	n := api.New(s.config(i), api.Network{State: s.net.Port(l), Cloud: s.net.Port(l), Workers: s.net.Port(l), Mesh: s.net.Mesh(l + ":81")})
+	srv, err := peer.NewServer(n)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.net.Attach(l, n.Handler(), nil)
+	s.net.Attach(l+":81", n.Handler(), srv)
+	n.Start(ctx)
+	s.stops[i] = cancel
+}
+
+func (s *site) crash(i int) {
+	s.net.Attach(s.labels[i], nil, nil)
+	s.net.Attach(s.labels[i]+":81", nil, nil)
+	s.stops[i]()
+}
+
+// cutZone cuts a zone's controller and workers off from everything else, or joins them.
+func (s *site) cutZone(zone int, on bool) {
+	inside := []string{s.labels[zone], s.labels[zone] + ":81"}
+	outside := []string{"state:1", "cloud:1"}
+	for i, l := range s.labels {
+		if i != zone {
+			outside = append(outside, l, l+":81")
+		}
+	}
+	for k := range 2 * s.world.Capacity { // those that were rented as spare room too
+		host := fmt.Sprintf("m-%06d", k)
+		if s.world.YardOf(host) == zoneName(zone) {
+			inside = append(inside, host)
+		} else {
+			outside = append(outside, host)
+		}
+	}
+	for _, a := range inside {
+		for _, b := range outside {
+			s.net.Cut(a, b, on)
+		}
+	}
+}
+
+// leader is the number of the controller that leads.
+func (s *site) leader() int {
+	item, _ := s.world.State.Get("e/leader")
+	for i, l := range s.labels {
+		if strings.Contains(string(item.Value), `"`+l+`"`) {
+			return i
+		}
+	}
+	s.t.Fatal("nobody leads")
+	return 0
+}
+
+// fill starts a service of as many tasks as there are machines, one on each.
+func (s *site) fill() {
+	spec := wire.Work{UID: "run-000001", Berth: "serve", Crew: "free", Shape: wire.Standing, Rank: wire.Critical, Legs: siteZones * workersOfZone,
+		Cores: 60, Gpus: 8, RAMGb: 400, Rollout: "img", ImageGb: 4}
+	if !s.world.SubmitUntil(spec, time.Now().Add(10*time.Second)) {
+		s.t.Fatal("the service is not accepted")
+	}
+	time.Sleep(25 * time.Second)
+	if on := s.world.On(spec.UID); on != spec.Legs {
+		s.t.Fatalf("%d of %d tasks are on machines", on, spec.Legs)
+	}
+}
+
+func (s *site) end() {
+	for i := range s.labels {
+		s.crash(i)
+	}
+	s.world.StopAll()
+	time.Sleep(2 * time.Minute)
+}
+
+// inSite plays a site in simulated time.
+func inSite(t *testing.T, f func(s *site)) {
+	quiet(t)
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, true)
+		s.fill()
+		f(s)
+		if broken := s.world.Broken(); len(broken) > 0 {
+			t.Errorf("rules broken:\n%s", strings.Join(broken, "\n"))
+		}
+		s.end()
+	})
+}
+
+// A zone that is cut off, leader or not, keeps the leases of its workers: they report to
+// the controller in it. While all workers reported to the leader, those of a cut zone
+// tried the controllers one after the other, 5 s each, and of 338 workers behind a cut 324
+// lost their leases before they came to their own.
+func TestCutZoneKeepsItsLeases(t *testing.T) {
+	for _, ofLeader := range []bool{false, true} {
+		t.Run(fmt.Sprintf("of the leader: %v", ofLeader), func(t *testing.T) {
+			inSite(t, func(s *site) {
+				before, zone := s.world.Started(), s.leader()
+				if !ofLeader {
+					zone = (zone + siteZones - 1) % siteZones // the last that its workers would try
+				}
+				s.net.Late = 0 // a held announcement of the next leader would end leases by the protocol
+				s.cutZone(zone, true)
+				time.Sleep(25 * time.Second)
+				s.cutZone(zone, false)
+				time.Sleep(30 * time.Second)
+				if n := s.world.Started() - before; n > 0 {
+					t.Errorf("%d tasks were started anew", n)
+				}
+			})
+		})
+	}
+}
+
+// A leader ends while followers keep the workers: nobody loses a lease, and the next leader
+// hears of all workers by the followers at once.
+func TestLeaderEndsBehindItsRelays(t *testing.T) {
+	inSite(t, func(s *site) {
+		before := s.world.Started()
+		for range 3 {
+			i := s.leader()
+			s.crash(i)
+			time.Sleep(8 * time.Second)
+			s.start(i)
+			time.Sleep(12 * time.Second)
+		}
+		if n := s.world.Started() - before; n > 0 {
+			t.Errorf("%d tasks were started anew", n)
+		}
+	})
+}
+
+// A follower ends, or stands still, while it keeps workers: they find another node, and
+// none of them is given up as silent meanwhile.
+func TestRelayEnds(t *testing.T) {
+	for _, stands := range []bool{false, true} {
+		t.Run(fmt.Sprintf("stands still: %v", stands), func(t *testing.T) {
+			inSite(t, func(s *site) {
+				before, relay := s.world.Started(), (s.leader()+2)%siteZones
+				if stands {
+					s.net.StandStill(s.labels[relay], true)
+					time.Sleep(6 * time.Second)
+					s.net.StandStill(s.labels[relay], false)
+				} else {
+					s.crash(relay)
+					time.Sleep(6 * time.Second)
+					s.start(relay)
+				}
+				time.Sleep(30 * time.Second)
+				if n := s.world.Started() - before; n > 0 {
+					t.Errorf("%d tasks were started anew", n)
+				}
+			})
+		})
+	}
+}
--- a/wire/admin.go
+++ b/wire/admin.go
@@ -28,6 +28,8 @@
 	Round    RoundStatus
 	Machines map[string]int         // by state
 	Classes  map[string]ClassStatus // by class of jobs
+	CheckIns string                 `json:",omitempty"` // "direct", or "relayed" by followers; only where relays are switched on
+	Workers  map[string]int         `json:",omitempty"` // by the controller that they report to
 }
 
 // RoundStatus describes the last round.
