Small fleets pay nothing for relays: no bookkeeping while all workers report to the leader

Every check-in passed the router's book of workers, and every quarter of a hold a map of all machines was made.

Change: in direct mode the router keeps no book; the fleet is counted, not listed.

--- a/internal/api/relay.go
+++ b/internal/api/relay.go
@@ -81,10 +81,10 @@
 		if !known {
 			continue
 		}
-		router.Resize(len(machines))
+		router.Resize(machines)
 		if time.Since(forgotten) > n.cfg.Lease() {
 			forgotten = time.Now()
-			receiver.Forget(func(host string) bool { return machines[host] })
+			receiver.Forget(c.HasMachine)
 		}
 	}
 }
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -39,17 +39,20 @@
 	return j.done, j.running(), true
 }
 
-// Machines names the machines that are not gone; known is false until all is loaded.
-func (c *Controller) Machines() (hosts map[string]bool, known bool) {
+// Machines is the number of machines that are not gone; known is false until all is
+// loaded.
+func (c *Controller) Machines() (n int, known bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	hosts = make(map[string]bool, c.fleet.Size())
-	c.fleet.Each(func(m *fleet.Machine) {
-		if m.State != fleet.Gone && m.State != fleet.Returning {
-			hosts[m.ID] = true
-		}
-	})
-	return hosts, c.loaded
+	return c.fleet.Len(), c.loaded
+}
+
+// HasMachine reports whether a machine is known that is not gone.
+func (c *Controller) HasMachine(host string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.fleet.Get(host)
+	return m != nil && m.State != fleet.Gone
 }
 
 // Status tells how the leader's work stands.
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -90,6 +90,8 @@
 	}
 	slog.Info("check-ins", "from", r.mode.String(), "to", to.String(), "workers", workers)
 	r.mode = to
+	clear(r.workers)
+	clear(r.load)
 }
 
 // Resize takes the number of workers that the leader knows of.
@@ -130,9 +132,12 @@
 func (r *Router) Route(report *wire.Report, at string, now time.Time) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.mode == Direct {
+		return "" // all report to the leader: nothing is counted
+	}
 	r.sweep(now)
 	p, fresh := r.note(report, at, now)
-	if !fresh || r.mode == Direct || now.Before(p.staysTil) {
+	if !fresh || now.Before(p.staysTil) {
 		return ""
 	}
 	to := r.choose(report.Yard, at)
