Idle connections give way when a node has no place for a new one

Users, workers and operators share one limit, and a connection that nobody uses any more keeps its place for three leases.

Change: package connlimit in place of netutil's limit. When all places are taken and a connection has been idle for two reports' intervals, the one idle for longest is closed for the new one. With none idle nothing is accepted, as before, so that a load balancer tries another node. Metrics tell the open and the evicted connections.

--- a/internal/api/admin.go
+++ b/internal/api/admin.go
@@ -35,6 +35,18 @@
 	gauge("lotusstile_state_proof_seconds", func() float64 { return min(n.store.ProofAge(), time.Hour).Seconds() })
 	gauge("lotusstile_cluster_version", func() float64 { return float64(n.version.InForce()) })
 	gauge("lotusstile_rejected_commits_total", func() float64 { return float64(n.store.Rejections()) })
+	gauge("lotusstile_connections", func() float64 {
+		if l := n.connections.Load(); l != nil {
+			return float64(l.Open())
+		}
+		return 0
+	})
+	gauge("lotusstile_evicted_connections_total", func() float64 {
+		if l := n.connections.Load(); l != nil {
+			return float64(l.Evicted())
+		}
+		return 0
+	})
 	gauge("lotusstile_knowledge_seconds", func() float64 { return min(time.Since(n.mirror.Fresh()), time.Hour).Seconds() })
 }
 
--- a/internal/api/http.go
+++ b/internal/api/http.go
@@ -12,8 +12,7 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
-	"golang.org/x/net/netutil"
-
+	"lotusstile.dev/lotusstile/internal/connlimit"
 	"lotusstile.dev/lotusstile/internal/ledger"
 	"lotusstile.dev/lotusstile/wire"
 )
@@ -60,7 +59,12 @@
 
 // serve answers on l until it closes.
 func (n *Node) serve(l net.Listener) error {
+	// The rest of the sockets is for the services, the workers and the peers. A worker
+	// that is well is idle for no longer than one interval.
+	limited := connlimit.New(l, n.cfg.Cluster.Limits.MaxConnections*3/4, 2*n.cfg.ReportEvery())
+	n.connections.Store(limited)
 	srv := &http.Server{
+		ConnState:         limited.Track,
 		Handler:           n.Handler(),
 		ReadHeaderTimeout: n.cfg.Lease() / 2,
 		ReadTimeout:       n.cfg.Lease() / 2,
@@ -68,8 +72,7 @@
 		IdleTimeout:       3 * n.cfg.Lease(),
 		MaxHeaderBytes:    8 << 10,
 	}
-	// The rest of the sockets is for the services, the workers and the peers.
-	err := srv.Serve(netutil.LimitListener(l, n.cfg.Cluster.Limits.MaxConnections*3/4))
+	err := srv.Serve(limited)
 	if errors.Is(err, net.ErrClosed) {
 		return nil
 	}
--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -19,6 +19,7 @@
 	"lotusstile.dev/lotusstile/internal/cloud"
 	"lotusstile.dev/lotusstile/internal/clusterversion"
 	"lotusstile.dev/lotusstile/internal/config"
+	"lotusstile.dev/lotusstile/internal/connlimit"
 	"lotusstile.dev/lotusstile/internal/controller"
 	"lotusstile.dev/lotusstile/internal/election"
 	"lotusstile.dev/lotusstile/internal/ledger"
@@ -43,13 +44,14 @@
 	rounds    *metrics.Histogram
 	requests  sync.Map // *metrics.Counter by requestKind
 
-	lead     atomic.Pointer[controller.Controller]
-	cat      atomic.Pointer[wire.Catalog]
-	settings atomic.Pointer[wire.Settings]
-	finals   finals
-	counts   taskCounts
-	version  *clusterversion.Tracker
-	relays   relays
+	lead        atomic.Pointer[controller.Controller]
+	cat         atomic.Pointer[wire.Catalog]
+	settings    atomic.Pointer[wire.Settings]
+	finals      finals
+	counts      taskCounts
+	version     *clusterversion.Tracker
+	relays      relays
+	connections atomic.Pointer[connlimit.Listener] // of users, workers and operators; nil before it listens
 
 	mu       sync.Mutex
 	contacts map[string]contact   // by machine: how it was answered in the leader's place
