--- a/internal/standin/day_test.go
+++ b/internal/standin/day_test.go
@@ -121,7 +121,7 @@
 	cfg := nodeConfig(d.t, i)
 	cfg.Cluster.State.Next = d.next
 	if d.relayConnections > 0 {
-		cfg.RelayCheckIns, cfg.Cluster.Limits.MaxConnections = true, d.relayConnections
+		cfg.RelayCheckIns, cfg.Cluster.Limits.MaxConnections = !d.old[i], d.relayConnections
 	}
 	l := labels[i]
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/standin/relays_test.go
+++ b/internal/standin/relays_test.go
@@ -41,6 +41,28 @@
 	}
 }
 
+// The same next to nodes of the release before, which know no relays: one or two of them,
+// leaders or not, are never sent workers to keep.
+func TestRulesHoldWithRelaysNextToTheReleaseBefore(t *testing.T) {
+	quiet(t)
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			oldNodes := func(d *day) {
+				d.old[seed%3] = true
+				d.old[(seed+1)%3] = seed >= 3
+			}
+			broken, started := play(t, 600+seed, int(3+2*seed), withRelays, oldNodes)
+			if started == 0 {
+				t.Error("no task was started")
+			}
+			if len(broken) > 0 {
+				t.Errorf("%d rules broken:\n%s", len(broken), strings.Join(broken, "\n"))
+			}
+		})
+	}
+}
+
 // site is controllers and workers in zones of their own.
 type site struct {
 	t      *testing.T
--- a/internal/standin/release_test.go
+++ b/internal/standin/release_test.go
@@ -13,7 +13,7 @@
 )
 
 // release lets a node meet its peers as its release does: one of the release before
-// cluster version 2 says no version, reads none, and passes over Awaits.
+// cluster version 2 says no version, reads none, passes over Awaits, and knows no relays.
 type release struct {
 	peer.Handler
 	d    *day
@@ -25,6 +25,7 @@
 	reply := r.Handler.Ping(a)
 	if r.d.old[r.node] || r.d.old[slices.Index(labels, a.From)] {
 		reply.Version = 0
+		reply.Relays, reply.Relaying = false, false
 	}
 	return reply
 }
