--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -26,12 +26,13 @@
 		Patience: 3 * time.Second, Observe: func(ReportKind, int) {}})
 }
 
-func bodyOf(t *rapid.T, r *wire.Report) []byte {
-	data, err := json.Marshal(r)
+// pendingOf is a report that waits for its answer.
+func pendingOf(r *wire.Report) *pendingReport {
+	body, err := json.Marshal(r)
 	if err != nil {
-		t.Fatal(err)
+		panic(err)
 	}
-	return data
+	return &pendingReport{report: r, body: body, result: make(chan result, 1)}
 }
 
 // generateReport draws what a worker says next: often the same as before.
@@ -118,7 +119,7 @@
 				term++
 				receiver = newReceiver(term)
 			}
-			p := &pendingReport{report: &r, body: bodyOf(t, &r), result: make(chan result, 1)}
+			p := pendingOf(&r)
 			s := senders[rapid.IntRange(0, 1).Draw(t, "follower")]
 			if err := s.add(Leader{Label: "n0", Term: term}, p); err != nil {
 				t.Fatal(err)
@@ -175,7 +176,7 @@
 			receiver.Forget(func(string) bool { return false })
 		}
 		r := wire.Report{Host: "m", Shift: 1, Tick: tick, Legs: []wire.LegReport{}}
-		p := &pendingReport{report: &r, body: []byte(fmt.Sprintf(`{"Host":"m","Shift":1,"Tick":%d,"Legs":[]}`, tick)), result: make(chan result, 1)}
+		p := pendingOf(&r)
 		if err := s.add(Leader{"n0", 1}, p); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/standin/relays_test.go
+++ b/internal/standin/relays_test.go
@@ -23,14 +23,13 @@
 // withRelays lets the followers of a day relay reports.
 func withRelays(d *day) { d.relayConnections = relayConnections }
 
-// The rules hold on days of all faults by chance while followers keep workers and relay
-// their reports, also while the fleet grows and shrinks past the limit for that.
-func TestRulesHoldWithRelays(t *testing.T) {
+// playRelayed plays days by chance with relays, each prepared further by its seed.
+func playRelayed(t *testing.T, first, days uint64, prepare func(d *day, seed uint64)) {
 	quiet(t)
-	for seed := range uint64(8) {
+	for seed := range days {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			broken, started := play(t, 500+seed, int(3+seed%12), withRelays)
+			broken, started := play(t, first+seed, int(3+seed%12), withRelays, func(d *day) { prepare(d, seed) })
 			if started == 0 {
 				t.Error("no task was started")
 			}
@@ -41,26 +40,19 @@
 	}
 }
 
+// The rules hold on days of all faults by chance while followers keep workers and relay
+// their reports, also while the fleet grows and shrinks past the limit for that.
+func TestRulesHoldWithRelays(t *testing.T) {
+	playRelayed(t, 500, 8, func(*day, uint64) {})
+}
+
 // The same next to nodes of the release before, which know no relays: one or two of them,
 // leaders or not, are never sent workers to keep.
 func TestRulesHoldWithRelaysNextToTheReleaseBefore(t *testing.T) {
-	quiet(t)
-	for seed := range uint64(6) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			oldNodes := func(d *day) {
-				d.old[seed%3] = true
-				d.old[(seed+1)%3] = seed >= 3
-			}
-			broken, started := play(t, 600+seed, int(3+2*seed), withRelays, oldNodes)
-			if started == 0 {
-				t.Error("no task was started")
-			}
-			if len(broken) > 0 {
-				t.Errorf("%d rules broken:\n%s", len(broken), strings.Join(broken, "\n"))
-			}
-		})
-	}
+	playRelayed(t, 600, 6, func(d *day, seed uint64) {
+		d.old[seed%3] = true
+		d.old[(seed+1)%3] = seed >= 3
+	})
 }
 
 // site is controllers and workers in zones of their own.
@@ -198,13 +190,18 @@
 	time.Sleep(2 * time.Minute)
 }
 
-// inSite plays a site in simulated time.
-func inSite(t *testing.T, f func(s *site)) {
+// undisturbed plays a site in simulated time: whatever f does to it, no task ends and no
+// rule is broken.
+func undisturbed(t *testing.T, f func(s *site)) {
 	quiet(t)
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, true)
 		s.fill()
+		before := s.world.Started()
 		f(s)
+		if n := s.world.Started() - before; n > 0 {
+			t.Errorf("%d tasks were started anew", n)
+		}
 		if broken := s.world.Broken(); len(broken) > 0 {
 			t.Errorf("rules broken:\n%s", strings.Join(broken, "\n"))
 		}
@@ -219,8 +216,8 @@
 func TestCutZoneKeepsItsLeases(t *testing.T) {
 	for _, ofLeader := range []bool{false, true} {
 		t.Run(fmt.Sprintf("of the leader: %v", ofLeader), func(t *testing.T) {
-			inSite(t, func(s *site) {
-				before, zone := s.world.Started(), s.leader()
+			undisturbed(t, func(s *site) {
+				zone := s.leader()
 				if !ofLeader {
 					zone = (zone + siteZones - 1) % siteZones // the last that its workers would try
 				}
@@ -229,9 +226,6 @@
 				time.Sleep(25 * time.Second)
 				s.cutZone(zone, false)
 				time.Sleep(30 * time.Second)
-				if n := s.world.Started() - before; n > 0 {
-					t.Errorf("%d tasks were started anew", n)
-				}
 			})
 		})
 	}
@@ -240,8 +234,7 @@
 // A leader ends while followers keep the workers: nobody loses a lease, and the next leader
 // hears of all workers by the followers at once.
 func TestLeaderEndsBehindItsRelays(t *testing.T) {
-	inSite(t, func(s *site) {
-		before := s.world.Started()
+	undisturbed(t, func(s *site) {
 		for range 3 {
 			i := s.leader()
 			s.crash(i)
@@ -249,9 +242,6 @@
 			s.start(i)
 			time.Sleep(12 * time.Second)
 		}
-		if n := s.world.Started() - before; n > 0 {
-			t.Errorf("%d tasks were started anew", n)
-		}
 	})
 }
 
@@ -260,8 +250,8 @@
 func TestRelayEnds(t *testing.T) {
 	for _, stands := range []bool{false, true} {
 		t.Run(fmt.Sprintf("stands still: %v", stands), func(t *testing.T) {
-			inSite(t, func(s *site) {
-				before, relay := s.world.Started(), (s.leader()+2)%siteZones
+			undisturbed(t, func(s *site) {
+				relay := (s.leader() + 2) % siteZones
 				if stands {
 					s.net.StandStill(s.labels[relay], true)
 					time.Sleep(6 * time.Second)
@@ -272,9 +262,6 @@
 					s.start(relay)
 				}
 				time.Sleep(30 * time.Second)
-				if n := s.world.Started() - before; n > 0 {
-					t.Errorf("%d tasks were started anew", n)
-				}
 			})
 		})
 	}
