A leader that loses its workers gives none up while followers relay the others

With relays those are only the ones of its own zone: 129 of them, less than half of the zone, were returned as silent while others report; and those that had come to a follower were sent back at once to the leader, which they could not reach.

Change: if more than half of the workers of one controller are silent at once, it is rather that controller: none is given up before a lease. A worker that reported here directly and now comes by a follower counts for the doubt in this node's links, as those passed on singly do. A worker that has gone elsewhere by itself stays for three leases, whether it was sent before or not.

Fleets whose workers all report to the leader are judged as before.

Test: TestLeaderLosesItsWorkers, seen to fail on the code before and without each of the parts.

--- a/internal/controller/checkin.go
+++ b/internal/controller/checkin.go
@@ -37,14 +37,16 @@
 		return o, true
 	}
 	now := c.now()
+	before := c.fleet.Get(r.Host)
+	wasDirect := before != nil && before.Shift != 0 && before.Via == ""
 	m, fresh := c.fleet.Report(r, now)
 	if !fresh {
 		return o, true
 	}
 	c.capacity(m)
 	m.Via = opts.Via
-	if opts.Relayed {
-		m.Relayed = now
+	if opts.Relayed || wasDirect && opts.Via != "" {
+		m.Relayed = now // it reported here, and may not reach this node any more
 	}
 	o.Orders = c.fleet.Orders(m, now, c.mayLaunch())
 	if len(o.Orders) > 0 || !opts.MayWait || m.State != fleet.Ready {
--- a/internal/controller/lost.go
+++ b/internal/controller/lost.go
@@ -135,6 +135,29 @@
 	}
 }
 
+// silencesByCarrier counts by the controller that answers them, "" for this one, how many
+// machines are silent, if followers relay reports: then those of one controller are a few of
+// a zone or of the fleet, and most of them silent at once means that it has lost its links.
+// It is nil if all machines report here.
+func (c *Controller) silencesByCarrier(now time.Time) map[string]silence {
+	carriers := map[string]silence{}
+	c.fleet.Each(func(m *fleet.Machine) {
+		if m.State != fleet.Ready && m.State != fleet.Confirming {
+			return
+		}
+		k := carriers[m.Via]
+		k.total++
+		if now.Sub(m.Reported) > 2*c.Config.ReportEvery() {
+			k.silent++
+		}
+		carriers[m.Via] = k
+	})
+	if _, direct := carriers[""]; direct && len(carriers) == 1 {
+		return nil
+	}
+	return carriers
+}
+
 // workerTry is what a node that does not answer costs a worker, as the protocol
 // has it: it waits 4 s for the answer and tries the next node 1 s later.
 const workerTry = 5 * time.Second
@@ -181,7 +204,11 @@
 		}
 		return patience
 	}
+	carriers := c.silencesByCarrier(now)
 	lost := func(m *fleet.Machine) bool {
+		if k := carriers[m.Via]; k.silent > max(1, k.total/part) {
+			return false // it is rather the controller that they report to
+		}
 		z := zones[m.Yard]
 		return !cutOff(m) && z.silent <= max(1, z.total/part)
 	}
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -63,11 +63,9 @@
 type placement struct {
 	shift    uint64 // of the newest report
 	tick     uint64
-	at       string // label
+	at       string // label; where it was sent, if it was
 	seen     time.Time
-	sentTo   string // where it was sent last
-	sentAt   time.Time
-	staysTil time.Time // it came back from there: it is not sent anywhere before
+	staysTil time.Time // it came here by itself: it is not sent anywhere before
 }
 
 // NewRouter makes a router in a mode: what the leader before had, if that is known.
@@ -148,13 +146,13 @@
 	if tooMany := r.load[at] > r.capacity(at); !tooMany && !r.moves.AllowN(now, 1) {
 		return ""
 	}
-	p.sentTo, p.sentAt = to, now
 	r.moveLoad(p, to)
 	return to
 }
 
-// note keeps where a worker reports. One that does not stay where it was sent is left
-// alone for a while: it may not reach that controller. r.mu is held.
+// note keeps where a worker reports. One that has gone elsewhere by itself is left alone
+// for a while: it may not reach the controller that it comes from. Sent back at once, it
+// would lose its lease on the way. r.mu is held.
 func (r *Router) note(report *wire.Report, at string, now time.Time) (p *placement, fresh bool) {
 	p = r.workers[report.Host]
 	if p == nil {
@@ -165,10 +163,9 @@
 		return p, false
 	}
 	p.shift, p.tick, p.seen = report.Shift, report.Tick, now
-	if p.sentTo != "" && at != p.sentTo && now.Sub(p.sentAt) < r.Lease {
+	if p.at != "" && at != p.at {
 		p.staysTil = now.Add(stayLeases * r.Lease)
 	}
-	p.sentTo = ""
 	r.moveLoad(p, at)
 	return p, true
 }
--- a/internal/standin/relays_test.go
+++ b/internal/standin/relays_test.go
@@ -266,3 +266,18 @@
 		})
 	}
 }
+
+// A leader loses its workers, and they come by way of followers: it doubts its own links and
+// gives up none of those that are still on their way. While only reports that were passed
+// on singly counted for that, it gave up 129 of its 178.
+func TestLeaderLosesItsWorkers(t *testing.T) {
+	undisturbed(t, func(s *site) {
+		leader := s.labels[s.leader()]
+		for _, on := range []bool{true, false} {
+			for k := range 2 * s.world.Capacity {
+				s.net.Cut(leader, fmt.Sprintf("m-%06d", k), on)
+			}
+			time.Sleep(30 * time.Second)
+		}
+	})
+}
