--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -1,10 +1,6 @@
 package peer
 
-import (
-	"time"
-
-	"lotusstile.dev/lotusstile/wire"
-)
+import "lotusstile.dev/lotusstile/wire"
 
 // RelayArgs is a batch of workers' reports that a follower relays to the leader.
 type RelayArgs struct {
@@ -57,6 +53,3 @@
 	err := p.call(serviceName+".RelayReports", a, &r, p.timeout)
 	return r, err
 }
-
-// Timeout is how long a call to the peer may take.
-func (p *Peer) Timeout() time.Duration { return p.timeout }
