--- a/cmd/lotusstile/main.go
+++ b/cmd/lotusstile/main.go
@@ -28,6 +28,7 @@
 type serveCmd struct {
 	Config        string `required:"" type:"path" help:"Settings file (TOML)."`
 	RelayCheckIns bool   `help:"Let followers keep workers and relay their reports in batches, once the fleet is too large for the connections of one controller."`
+	WarmStandby   bool   `help:"Let the likely successor of the leader follow its state, so that it can decide sooner after the leader's end."`
 }
 
 type checkCmd struct {
@@ -59,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	cfg.RelayCheckIns = s.RelayCheckIns
+	cfg.RelayCheckIns, cfg.WarmStandby = s.RelayCheckIns, s.WarmStandby
 	// The limit counts all that the process holds; half is left for what the
 	// runtime does not count and for bursts. Below that, memory is cheaper than
 	// the processor time of collections.
--- a/internal/api/admin.go
+++ b/internal/api/admin.go
@@ -72,6 +72,7 @@
 func (n *Node) adminMetrics(c echo.Context) error {
 	var out bytes.Buffer
 	n.meters.WritePrometheus(&out)
+	n.writeStandbyMetrics(&out)
 	if l := n.lead.Load(); l != nil {
 		st := l.Status()
 		for state, count := range st.Machines {
@@ -98,6 +99,9 @@
 			st.Lead = lead
 		}
 	}
+	if n.cfg.WarmStandby {
+		st.WarmStandby = n.standbyStatus()
+	}
 	return c.JSON(http.StatusOK, st)
 }
 
--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -51,6 +51,7 @@
 	counts      taskCounts
 	version     *clusterversion.Tracker
 	relays      relays
+	standby     warmStandby
 	connections atomic.Pointer[connlimit.Listener] // of users, workers and operators; nil before it listens
 
 	mu       sync.Mutex
@@ -102,11 +103,13 @@
 	n.settings.Store(&defaults)
 	n.measure()
 	n.newRelays()
+	n.newStandby()
 	n.load.limit, n.load.most = cfg.ReportEvery()/2, int64(cfg.Cluster.Limits.MaxConnections/8)
 	n.echo = n.routes()
 	n.elector = election.New(n.store, cfg.Label, cfg.HoldTTL(), n.leadTerm)
 	n.elector.Align(cfg.Grid())
 	n.elector.Prefer(cfg.Handicap(cfg.Label), n.better)
+	n.elector.DeferTo(n.otherStandsBy)
 	return n
 }
 
@@ -153,6 +156,7 @@
 	go n.load.watch(ctx, n.cfg.Grid(), n.cfg.HoldTTL()/8)
 	go n.publishKept(ctx)
 	go n.relays.sender.Run(ctx)
+	go n.followLeader(ctx)
 	for _, p := range n.peers {
 		go n.ping(ctx, p)
 	}
@@ -167,10 +171,14 @@
 func (n *Node) leadTerm(ctx context.Context, term uint64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c := controller.New(controller.Deps{Config: n.cfg, Store: n.store, Cloud: n.cloud, Worker: n, Mirror: n.mirror,
+	deps := controller.Deps{Config: n.cfg, Store: n.store, Cloud: n.cloud, Worker: n, Mirror: n.mirror,
 		Settings: func() wire.Settings { return *n.settings.Load() }, Rounded: n.rounded,
 		Version: n.version,
-		Saw:     func(t uint64) { n.elector.Saw(t, "") }, Heard: n.heard, Reached: n.reached, RelayReached: n.relayReached}, term)
+		Saw:     func(t uint64) { n.elector.Saw(t, "") }, Heard: n.heard, Reached: n.reached, RelayReached: n.relayReached,
+		Vacant: n.elector.VacantSince()}
+	n.beginStandby(&deps, term)
+	defer n.endStandby()
+	c := controller.New(deps, term)
 	n.lead.Store(c)
 	defer n.lead.Store(nil)
 	n.beginRelays(ctx, term)
@@ -251,9 +259,9 @@
 // Ping answers a peer.
 func (n *Node) Ping(a peer.PingArgs) peer.PingReply {
 	r := peer.PingReply{Term: n.elector.View().Term, Serving: n.serving(), Heard: n.keptLately(), Version: int(clusterversion.Latest),
-		Relays: n.cfg.RelayCheckIns}
+		Relays: n.cfg.RelayCheckIns, Follows: n.cfg.WarmStandby}
 	if c := n.lead.Load(); c != nil {
-		r.Leading, r.Term, r.Relaying = true, c.Term(), n.relayMode()
+		r.Leading, r.Term, r.Relaying, r.Standby = true, c.Term(), n.relayMode(), n.chooseStandby()
 		if a.Term > c.Term() {
 			n.elector.Saw(a.Term, "")
 		}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -72,7 +72,10 @@
 	// RelayCheckIns lets followers keep workers and relay their reports in batches once
 	// the fleet is large. It is set on the command line.
 	RelayCheckIns bool `toml:"-"`
-	Cluster       struct {
+	// WarmStandby lets the likely successor follow the leader's state. It is set on the
+	// command line.
+	WarmStandby bool `toml:"-"`
+	Cluster     struct {
 		Size       int         `toml:"size"`
 		Zones      []string    `toml:"zones"`
 		SkewMs     float64     `toml:"skew_ms"`
--- a/internal/controller/announce.go
+++ b/internal/controller/announce.go
@@ -57,7 +57,7 @@
 		if m.State == fleet.Booting && !m.Listed || now.Sub(c.announced[m.ID]) < 3*every {
 			return
 		}
-		shift := m.Shift
+		shift := max(m.Shift, m.SessionHint)
 		m.Each(func(a *fleet.Attempt) { shift = max(shift, a.Shift) })
 		ts = append(ts, announcement{m.ID, m.Address, max(shift, 1)})
 	})
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -17,6 +17,7 @@
 	"lotusstile.dev/lotusstile/internal/ledger"
 	"lotusstile.dev/lotusstile/internal/pipeline"
 	"lotusstile.dev/lotusstile/internal/provision"
+	"lotusstile.dev/lotusstile/internal/standby"
 	"lotusstile.dev/lotusstile/internal/store"
 	"lotusstile.dev/lotusstile/wire"
 )
@@ -63,6 +64,14 @@
 	Rounded  func(time.Duration) // a round took this long
 	// RelayReached reports whether a follower that relays reports answers.
 	RelayReached func(label string) bool
+	// Prove checks what this node has followed as a warm standby; nil if it follows nothing.
+	Prove func(ctx context.Context, term uint64) (*standby.Proven, error)
+	// Source offers what this term knows to a standby; nil if there is none.
+	Source *standby.Source
+	// Vacant is when this node saw that nobody leads.
+	Vacant time.Time
+	// Promoted is told once how the takeover went; nil if nobody asks.
+	Promoted func(ledger.Takeover)
 }
 
 // Controller leads one term.
@@ -102,7 +111,10 @@
 	lastAt         time.Time
 	steady         time.Time
 	singlesUntil   time.Time // until when jobs are written one by one
-	answersPaused  bool      // no reports are answered: no machine is declared lost for its silence
+	views          viewChanges
+	takeover       *takeover
+	warmTries      int  // checks of what was followed that the state service did not answer
+	answersPaused  bool // no reports are answered: no machine is declared lost for its silence
 }
 
 // New makes the controller of a term.
@@ -116,6 +128,7 @@
 	c.countsRevision = 1
 	c.begun = c.now()
 	c.window = d.Settings().Window
+	c.takeover = newTakeover(term, d.Config.Label, d.Vacant, c.begun)
 	return c
 }
 
@@ -229,6 +242,8 @@
 // MachineChanged logs a machine's change of state.
 func (c *Controller) MachineChanged(m *fleet.Machine, from fleet.MachineState, why string) {
 	slog.Info("machine", "host", m.ID, "from", from.String(), "to", m.State.String(), "shift", m.Shift, "why", why)
+	c.views.machine(m.ID)
+	c.noteReady(m)
 }
 
 // refresh takes a job's record, as just read, into the picture.
--- a/internal/controller/events.go
+++ b/internal/controller/events.go
@@ -47,6 +47,7 @@
 // dropJob forgets a job that is archived.
 func (c *Controller) dropJob(j *job, now time.Time) {
 	delete(c.jobs, j.uid)
+	c.views.job(j.uid)
 	c.archived(j.uid)
 	j.each(func(a *fleet.Attempt) { c.stop(a, 0, now, "job is archived") })
 	for _, p := range j.pieces {
@@ -63,6 +64,10 @@
 	if a.State == fleet.Committed {
 		c.answerNow(a.Machine)
 	}
+	c.views.job(a.UID)
+	if a.State == fleet.Running {
+		c.views.machine(a.Machine.ID) // it has the image now
+	}
 	j := c.jobs[a.UID]
 	if j == nil {
 		if a.State == fleet.Ended {
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -2,29 +2,37 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"slices"
 	"strings"
+	"time"
 
 	"lotusstile.dev/lotusstile/internal/fleet"
 	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/standby"
 	"lotusstile.dev/lotusstile/wire"
 )
 
+// warmTries is how often a warm standby's copy is checked before all records are listed
+// instead, if the state service does not answer.
+const warmTries = 3
+
+// records is what a term begins with.
+type records struct {
+	jobs, pieces, returns, images []wire.Item
+	hints                         *standby.Proven // nil if all records were listed
+}
+
 // load rebuilds the picture from the records. Until it is loaded, reports keep
 // their leases and get no orders.
 func (c *Controller) load(ctx context.Context) error {
-	var lists [4][]wire.Item
-	for i, under := range []string{ledger.JobPrefix, ledger.PiecePrefix, ledger.ReturnsPrefix, ledger.ImagesPrefix} {
-		rows, _, err := c.Store.List(ctx, under)
-		if err != nil {
-			return err
-		}
-		lists[i] = rows
+	recs, err := c.readRecords(ctx)
+	if err != nil {
+		return err
 	}
-	jobs, pieces, returns, images := lists[0], lists[1], lists[2], lists[3]
-	for _, row := range jobs {
+	for _, row := range recs.jobs {
 		var rec ledger.Job
 		if err := wire.Decode(row.Value, &rec); err != nil {
 			return fmt.Errorf("job record %s: %w", row.Key, err)
@@ -34,7 +42,83 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
-	for _, row := range returns {
+	if err := c.takeReturns(recs.returns, now); err != nil {
+		return err
+	}
+	c.takeImages(recs.images, now)
+	c.hintMachines(recs.hints, now)
+	inherited := c.takePieces(recs.pieces, now)
+	c.hintJobs(recs.hints)
+	for _, j := range c.jobs {
+		c.countsChanged(j)
+		if j.rec.Status == wire.JobAborted {
+			j.each(func(a *fleet.Attempt) { c.stop(a, 0, now, "withdrawn") })
+		}
+	}
+	if c.Source != nil {
+		c.Source.Seed(c, recs.pieces, recs.returns, recs.images)
+	}
+	c.loaded = true
+	c.steady = now
+	c.takeover.loaded(now, c.fleet.Len(), inherited)
+	slog.Info("picture loaded", "term", c.term, "jobs", len(c.jobs), "attempts", inherited, "returning", len(c.returns), "warm", recs.hints != nil)
+	return nil
+}
+
+// readRecords takes the records from what this node has followed, if that can be proven,
+// or lists them.
+func (c *Controller) readRecords(ctx context.Context) (*records, error) {
+	if c.Prove != nil && c.warmTries < warmTries {
+		recs, err := c.provenRecords(ctx)
+		if err == nil {
+			return recs, nil
+		}
+		c.takeover.cold(err)
+		if !finalProof(err) {
+			c.warmTries++
+			return nil, err
+		}
+		c.warmTries = warmTries
+		slog.Info("all records are listed", "term", c.term, "why", err)
+	}
+	var lists [4][]wire.Item
+	for i, under := range []string{ledger.JobPrefix, ledger.PiecePrefix, ledger.ReturnsPrefix, ledger.ImagesPrefix} {
+		rows, _, err := c.Store.List(ctx, under)
+		if err != nil {
+			return nil, err
+		}
+		lists[i] = rows
+	}
+	return &records{jobs: lists[0], pieces: lists[1], returns: lists[2], images: lists[3]}, nil
+}
+
+// finalProof reports whether trying the proof again is of no use.
+func finalProof(err error) bool {
+	for _, final := range []error{standby.ErrNothingHeld, standby.ErrDigest, standby.ErrTooFarBehind, standby.ErrUndecodable} {
+		if errors.Is(err, final) {
+			return true
+		}
+	}
+	return false
+}
+
+// provenRecords takes what this node has followed, once it is proven, and brings the
+// mirror of jobs, whose every entry the picture has, up to date by a read of this term.
+func (c *Controller) provenRecords(ctx context.Context) (*records, error) {
+	proven, err := c.Prove(ctx, c.term)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.Mirror.Refresh(ctx, c.Store); err != nil {
+		return nil, err
+	}
+	c.takeover.proven(proven)
+	return &records{pieces: proven.Pieces, returns: proven.Returns, images: proven.Images, hints: proven}, nil
+}
+
+// takeReturns takes records of returns that an earlier term has attempted. c.mu is held.
+func (c *Controller) takeReturns(rows []wire.Item, now time.Time) error {
+	for _, row := range rows {
 		var rec ledger.Returns
 		if err := wire.Decode(row.Value, &rec); err != nil {
 			return fmt.Errorf("record of returns %s: %w", row.Key, err)
@@ -47,7 +131,12 @@
 			c.returnsRecords = append(c.returnsRecords, returnsRecord{row.Key, rec.Hosts})
 		}
 	}
-	for _, row := range images {
+	return nil
+}
+
+// takeImages takes records of machines' images. c.mu is held.
+func (c *Controller) takeImages(rows []wire.Item, now time.Time) {
+	for _, row := range rows {
 		id := strings.TrimPrefix(row.Key, ledger.ImagesPrefix)
 		var rec ledger.Images
 		if err := wire.Decode(row.Value, &rec); err != nil {
@@ -60,8 +149,12 @@
 		}
 		c.noted[id] = imageNote{len(rec.Names), now}
 	}
-	inherited := 0
-	for _, row := range pieces {
+}
+
+// takePieces takes records of placements and returns how many attempts they list. c.mu is
+// held.
+func (c *Controller) takePieces(rows []wire.Item, now time.Time) (inherited int) {
+	for _, row := range rows {
 		uid, n, ok := ledger.SplitPieceKey(row.Key)
 		j := c.jobs[uid]
 		if !ok || j == nil {
@@ -81,14 +174,5 @@
 			inherited++
 		}
 	}
-	for _, j := range c.jobs {
-		c.countsChanged(j)
-		if j.rec.Status == wire.JobAborted {
-			j.each(func(a *fleet.Attempt) { c.stop(a, 0, now, "withdrawn") })
-		}
-	}
-	c.loaded = true
-	c.steady = now
-	slog.Info("picture loaded", "term", c.term, "jobs", len(c.jobs), "attempts", inherited, "returning", len(c.returns))
-	return nil
+	return inherited
 }
--- a/internal/controller/picture.go
+++ b/internal/controller/picture.go
@@ -290,7 +290,7 @@
 // comes reports whether a machine is expected to take launches soon. One that
 // boots for much longer than usual is no longer counted on.
 func (c *Controller) comes(m *fleet.Machine, now time.Time) bool {
-	if m.Draining || m.Warned || m.Failed || m.Cap.Cores == 0 {
+	if m.Warned || m.Failed || m.Cap.Cores == 0 {
 		return false
 	}
 	switch m.State {
--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -80,6 +80,8 @@
 		c.stop(a, leeway, now, "preempted")
 	}
 	c.last = info
+	c.noteDecision(c.now())
+	c.stopIdleViews(now)
 	if info.Waiting > 0 {
 		slog.Info("round", "term", c.term, "window", plan.Window, "waiting", info.Waiting, "started", info.Started,
 			"stopped", info.Stopped, "short", info.Short, "objective", math.Round(plan.Objective*100)/100, "reserved", plan.Reserved, "ms", info.TookMs)
--- a/internal/controller/spare.go
+++ b/internal/controller/spare.go
@@ -132,7 +132,7 @@
 	var idle []*fleet.Machine
 	c.fleet.Each(func(m *fleet.Machine) {
 		r := c.rig(m.Rig)
-		if m.State != fleet.Ready || m.Draining || m.LiveCount() > 0 || kept[m.ID] || r == nil || wanted(m) {
+		if m.State != fleet.Ready || m.LiveCount() > 0 || kept[m.ID] || r == nil || wanted(m) {
 			return
 		}
 		// A machine costs at least a minute; what comes back within a
--- /dev/null
+++ b/internal/controller/views.go
@@ -0,0 +1,213 @@
+package controller
+
+import (
+	"cmp"
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/internal/provision"
+	"lotusstile.dev/lotusstile/internal/standby"
+)
+
+// viewChanges notes of which machines and jobs the standby's views are out of date. While no
+// standby asks, nothing is noted.
+type viewChanges struct {
+	on       bool
+	taken    time.Time // when they were last taken
+	machines map[string]bool
+	jobs     map[string]bool
+}
+
+// viewsFor is for how many of the hold's times changes are noted after a standby has asked.
+const viewsFor = 4
+
+func (v *viewChanges) machine(host string) {
+	if v.on {
+		v.machines[host] = true
+	}
+}
+
+func (v *viewChanges) job(uid string) {
+	if v.on {
+		v.jobs[uid] = true
+	}
+}
+
+// TakeChangedViews returns views that have changed since they were last taken: see
+// standby.Views.
+func (c *Controller) TakeChangedViews(most int) (entries []*standby.Entry, more bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	if !c.views.on || now.Sub(c.views.taken) > viewsFor*c.Config.HoldTTL() {
+		c.noteAllViews()
+	}
+	c.views.taken = now
+	add := func(e *standby.Entry, err error) {
+		if err != nil {
+			slog.Error("view not made", "err", err)
+			return
+		}
+		entries = append(entries, e)
+	}
+	for host := range c.views.machines {
+		if len(entries) >= most {
+			return entries, true
+		}
+		delete(c.views.machines, host)
+		add(c.machineEntry(host))
+	}
+	for uid := range c.views.jobs {
+		if len(entries) >= most {
+			return entries, true
+		}
+		delete(c.views.jobs, uid)
+		add(c.jobEntry(uid))
+	}
+	add(c.leaderView().Entry())
+	return entries, false
+}
+
+// noteAllViews begins to note changes, with everything. c.mu is held.
+func (c *Controller) noteAllViews() {
+	c.views = viewChanges{on: true, machines: map[string]bool{}, jobs: map[string]bool{}}
+	c.fleet.Each(func(m *fleet.Machine) { c.views.machines[m.ID] = true })
+	for uid := range c.jobs {
+		c.views.jobs[uid] = true
+	}
+}
+
+// stopIdleViews ends the noting of changes once no standby has asked for a while. c.mu is
+// held.
+func (c *Controller) stopIdleViews(now time.Time) {
+	if c.views.on && now.Sub(c.views.taken) > viewsFor*c.Config.HoldTTL() {
+		c.views = viewChanges{}
+	}
+}
+
+func milliseconds(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+func fromMilliseconds(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
+
+func (c *Controller) machineEntry(host string) (*standby.Entry, error) {
+	m := c.fleet.Get(host)
+	if m == nil || m.State == fleet.Gone {
+		return standby.NoMachine(host), nil
+	}
+	v := standby.MachineView{Host: host, Address: m.Address, Type: m.Rig, Zone: m.Yard, Spot: m.Standby, Session: m.Shift,
+		BornMs: milliseconds(m.Born), AvoidMs: milliseconds(m.AvoidUntil), SpotNotice: m.Warned,
+		Images: slices.Sorted(maps.Keys(m.Images))}
+	if m.State == fleet.Ready {
+		v.Token = c.term
+	}
+	return v.Entry()
+}
+
+func (c *Controller) jobEntry(uid string) (*standby.Entry, error) {
+	j := c.jobs[uid]
+	if j == nil {
+		return standby.NoJob(uid), nil
+	}
+	v := standby.JobView{UID: uid, Begun: j.begun, Fails: j.fails, HoldMs: milliseconds(j.hold), WaitMs: milliseconds(j.waitFrom)}
+	var running []standby.RunningTask
+	j.each(func(a *fleet.Attempt) {
+		if !a.RunAt.IsZero() {
+			running = append(running, standby.RunningTask{Task: a.Leg, Try: a.Try, SinceS: a.RunAt.Unix()})
+		}
+	})
+	slices.SortFunc(running, func(a, b standby.RunningTask) int { return cmp.Compare(a.Task, b.Task) })
+	if err := v.SetRunning(running); err != nil {
+		return nil, err
+	}
+	return v.Entry()
+}
+
+func (c *Controller) leaderView() *standby.LeaderView {
+	v := &standby.LeaderView{Window: c.window}
+	for g, r := range c.refused {
+		v.Refusals = append(v.Refusals, standby.Refusal{Type: g.Rig, Zone: g.Yard, Spot: g.Standby, UntilMs: milliseconds(r.until), PauseMs: r.pause.Milliseconds()})
+	}
+	for class, a := range c.arrive {
+		v.Arrivals = append(v.Arrivals, standby.Arrival{Class: class, Job: *a.spec, Count: a.count, TasksSquare: a.legs2, AtMs: milliseconds(a.at)})
+	}
+	return v
+}
+
+// hintMachines takes what the leader before knew of machines. Nothing of it says that a
+// machine is there, reports, or may be launched on: only its reports in this term do. c.mu
+// is held.
+func (c *Controller) hintMachines(p *standby.Proven, now time.Time) {
+	if p == nil {
+		return
+	}
+	for i := range p.Machines {
+		v := &p.Machines[i]
+		m := c.fleet.Know(v.Host, now)
+		if m.State != fleet.Booting {
+			continue
+		}
+		m.Address, m.Rig, m.Yard, m.Standby = v.Address, v.Type, v.Zone, v.Spot
+		m.SessionHint, m.Warned, m.AvoidUntil = v.Session, v.SpotNotice, fromMilliseconds(v.AvoidMs)
+		if born := fromMilliseconds(v.BornMs); !born.IsZero() && born.Before(m.Born) {
+			m.Born = born
+		}
+		for _, image := range v.Images {
+			m.Images[image] = now
+		}
+		c.capacity(m)
+	}
+	for _, r := range p.Leader.Refusals {
+		c.refused[provision.Group{Rig: r.Type, Yard: r.Zone, Standby: r.Spot}] = refusal{fromMilliseconds(r.UntilMs), time.Duration(r.PauseMs) * time.Millisecond}
+	}
+	for _, a := range p.Leader.Arrivals {
+		job := a.Job
+		c.arrive[a.Class] = &arrivals{spec: &job, level: job.Rank.Level(), count: a.Count, legs2: a.TasksSquare, at: fromMilliseconds(a.AtMs)}
+	}
+	if w := p.Leader.Window; w > 0 {
+		c.window = min(w, c.Settings().Window)
+	}
+}
+
+// hintJobs takes what the leader before knew of jobs. c.mu is held.
+func (c *Controller) hintJobs(p *standby.Proven) {
+	if p == nil {
+		return
+	}
+	for i := range p.Jobs {
+		v := &p.Jobs[i]
+		j := c.jobs[v.UID]
+		if j == nil {
+			continue
+		}
+		tasks, err := v.RunningTasks()
+		if err != nil {
+			slog.Warn("running tasks are not known", "err", err)
+			continue
+		}
+		j.begun, j.fails, j.hold = j.begun || v.Begun, max(j.fails, v.Fails), fromMilliseconds(v.HoldMs)
+		if from := fromMilliseconds(v.WaitMs); !from.IsZero() && from.Before(j.waitFrom) {
+			j.waitFrom = from
+		}
+		for _, t := range tasks {
+			if t.Task >= j.rec.Spec.Legs {
+				continue
+			}
+			if a := j.attempt(t.Task); a != nil && a.Try == t.Try {
+				a.RunAt = time.Unix(t.SinceS, 0)
+			}
+		}
+	}
+}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -42,6 +42,10 @@
 	CloseHold(ctx context.Context, permit uint64) error
 }
 
+// deferShare is the part of the hold's time by which a node lets one go first that is
+// better prepared to lead: longer than the chance in the wait of either.
+const deferShare = 16
+
 // View is what is known of the leadership.
 type View struct {
 	Leader string // empty: nobody leads
@@ -58,20 +62,23 @@
 	handicap int
 	grid     tick.Grid
 	better   func() bool
-	lead     func(ctx context.Context, term uint64)
+	// deferring reports whether another node is better prepared to lead.
+	deferring func() bool
+	lead      func(ctx context.Context, term uint64)
 
 	mu      sync.Mutex
 	state   State
 	view    View
 	term    uint64 // our term while we lead
 	stop    context.CancelFunc
+	vacant  time.Time // when it was last seen that nobody leads
 	changed chan struct{}
 }
 
 // New makes an elector. lead is called for each term that this node leads; its
 // context ends with the term.
 func New(s Store, label string, ttl time.Duration, lead func(ctx context.Context, term uint64)) *Elector {
-	return &Elector{store: s, label: label, ttl: ttl, lead: lead, better: func() bool { return false }, changed: make(chan struct{}, 1)}
+	return &Elector{store: s, label: label, ttl: ttl, lead: lead, better: func() bool { return false }, deferring: func() bool { return false }, changed: make(chan struct{}, 1)}
 }
 
 // Prefer lets others go first: this node waits a little for each point of its
@@ -79,6 +86,10 @@
 // that a node with a lower one is well. It is called before Run.
 func (e *Elector) Prefer(handicap int, better func() bool) { e.handicap, e.better = handicap, better }
 
+// DeferTo lets another node go first while first says so: it is better prepared to lead.
+// It is called before Run.
+func (e *Elector) DeferTo(first func() bool) { e.deferring = first }
+
 // Align lets the renewals of the hold fall on a grid. It is called before Run.
 func (e *Elector) Align(grid tick.Grid) { e.grid = grid }
 
@@ -152,7 +163,7 @@
 		e.learn(row.Key, row.Value, row.Stamp)
 	}
 	if !leading {
-		e.view.Leader = ""
+		e.vacate()
 	}
 	e.mu.Unlock()
 	e.notifyChanged()
@@ -163,7 +174,7 @@
 	e.mu.Lock()
 	for _, n := range ch.News {
 		if n.Drop == ledger.LeaderKey && n.Stamp > e.view.Term {
-			e.view.Leader = ""
+			e.vacate()
 		} else if n.Set != "" {
 			e.learn(n.Set, n.Value, n.Stamp)
 		}
@@ -172,6 +183,21 @@
 	e.notifyChanged()
 }
 
+// vacate notes that nobody leads. e.mu is held.
+func (e *Elector) vacate() {
+	if e.view.Leader != "" || e.vacant.IsZero() {
+		e.vacant = time.Now()
+	}
+	e.view.Leader = ""
+}
+
+// VacantSince is when this node last saw, by the state service's word, that nobody leads.
+func (e *Elector) VacantSince() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.vacant
+}
+
 // learn takes a key of the election into the view. e.mu is held.
 func (e *Elector) learn(key string, value json.RawMessage, stamp uint64) {
 	if stamp < e.view.Term {
@@ -205,7 +231,11 @@
 			continue
 		}
 		// A little chance keeps nodes from colliding at every try.
-		time.Sleep(time.Duration(rand.Int64N(int64(e.ttl/40))) + time.Duration(e.handicap)*e.ttl/8)
+		wait := time.Duration(rand.Int64N(int64(e.ttl/40))) + time.Duration(e.handicap)*e.ttl/8
+		if e.deferring() {
+			wait += e.ttl / deferShare
+		}
+		time.Sleep(wait)
 		if v := e.View(); v.Leader != "" {
 			continue
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -126,6 +126,7 @@
 	Cap            Res
 	Shift          uint64
 	Tick           uint64
+	SessionHint    uint64    // session that an earlier leader knew: only for whom to announce to
 	Heard          time.Time // last report, here or at another node
 	Reported       time.Time // last report here
 	Relayed        time.Time // last report that another node relayed here
@@ -135,7 +136,6 @@
 	Listed         bool
 	Failed         bool // the cloud lists it as failed
 	Warned         bool // spot notice
-	Draining       bool // takes no more launches; returned when empty
 	IdleAt         time.Time
 	AvoidUntil     time.Time            // takes no launches until then
 	MissedLaunches int                  // launches in a row that it did not take
@@ -199,7 +199,7 @@
 
 // Takes reports whether new attempts may be placed on it.
 func (m *Machine) Takes(now time.Time) bool {
-	return m.State == Ready && !m.Draining && !m.Warned && !m.Failed && m.Cap.Cores > 0 && !now.Before(m.AvoidUntil)
+	return m.State == Ready && !m.Warned && !m.Failed && m.Cap.Cores > 0 && !now.Before(m.AvoidUntil)
 }
 
 // Watcher is told of every change of state.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -9,6 +9,7 @@
 //	r/<term>-<n>  machines whose return has been attempted
 //	i/<host>      the images a machine has, as far as was seen
 //	k/<node>/<n>  machines whose leases a node keeps, cut off from the leader
+//	t/last        how the last change of leader went
 //	o/settings    the operators' own settings
 //	o/version     the cluster version: which formats of records are in use
 //	o/release/<node>  the version that a node understands, on a lease, until it is in force
@@ -34,6 +35,7 @@
 	ReturnsPrefix  = "r/"
 	ImagesPrefix   = "i/"
 	KeptPrefix     = "k/"
+	TakeoverKey    = "t/last"
 	SettingsPrefix = "o/"
 	SettingsKey    = "o/settings"
 	VersionKey     = "o/version"
@@ -79,6 +81,32 @@
 // cannot reach. The state service carries the word where the mesh does not.
 type Kept struct{ Hosts []string }
 
+// Takeover is how a change of leader went: what the new leader has proven, and when.
+// Times are milliseconds since the new leader saw that nobody leads.
+type Takeover struct {
+	Term uint64
+	Node string
+	// Warm: the new leader took over what it had followed. If not, Cause says why, and it
+	// has listed all records.
+	Warm  bool
+	Cause string `json:",omitempty"`
+	// What it had followed: the leader's term, the revision of the state service up to
+	// which all records were part of it, its digest and its age, and how many changes the
+	// state service had made since.
+	FollowedTerm uint64 `json:",omitempty"`
+	Position     uint64 `json:",omitempty"`
+	Digest       string `json:",omitempty"`
+	AgeMs        int64  `json:",omitempty"`
+	Changes      int    `json:",omitempty"`
+	// What is in its picture: machines that may run tasks, and attempts that may be on them.
+	Machines, Attempts int
+	// The lease of the leader before has ended by the state service's word at 0.
+	ElectedMs int64
+	LoadedMs  int64 // all records are known
+	ReadyMs   int64 // the first machine has reported with the new token
+	DecidedMs int64 // the first round that could place tasks has ended
+}
+
 // Placed is an attempt that was decided and is not yet recorded as ended.
 type Placed struct {
 	Leg   int    `json:"L"`
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -43,6 +43,9 @@
 	Version        int  // cluster version that the callee understands; 0: an older release
 	Relays         bool // can relay reports of workers in batches
 	Relaying       bool // leads, and wants its followers to keep workers and to relay their reports
+	Follows        bool // can be the leader's warm standby
+	// Standby is the label of the node that a leader wants to follow its state; "": none.
+	Standby string
 }
 
 // CountsArgs asks the leader for a job's counts.
@@ -96,6 +99,7 @@
 	Counts(a CountsArgs) CountsReply
 	RelayCheckIn(a CheckInArgs) CheckInReply
 	RelayReports(a RelayArgs) (RelayReply, error)
+	FollowState(a FollowArgs) (FollowReply, error)
 }
 
 // Node is the net/rpc service.
--- /dev/null
+++ b/internal/standby/contents.go
@@ -0,0 +1,113 @@
+package standby
+
+import (
+	"encoding/binary"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	iradix "github.com/hashicorp/go-immutable-radix/v2"
+
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// Entry is one record or one view. The names of its fields are short, for they are sent
+// with each.
+type Entry struct {
+	Key     string `cbor:"k"`
+	Value   []byte `cbor:"v,omitempty"`
+	Stamp   uint64 `cbor:"s,omitempty"` // of a record; 0 for a view
+	Dropped bool   `cbor:"d,omitempty"`
+}
+
+// recordPrefixes are the keys of the records that only the leader writes and that a new
+// leader needs. Jobs are not among them: every node keeps a mirror of these.
+var recordPrefixes = []string{ledger.PiecePrefix, ledger.ReturnsPrefix, ledger.ImagesPrefix}
+
+// isRecord reports whether a key is that of a followed record.
+func isRecord(key string) bool {
+	for _, prefix := range recordPrefixes {
+		if strings.HasPrefix(key, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// digest is a hash of an entry. That of a set is the sum of those of its entries, so that
+// it follows each change at the cost of the change.
+func (e *Entry) digest() uint64 {
+	var hash xxhash.Digest
+	hash.Reset()
+	_, _ = hash.WriteString(e.Key)
+	var stamp [9]byte // a zero byte ends the key
+	binary.LittleEndian.PutUint64(stamp[1:], e.Stamp)
+	_, _ = hash.Write(stamp[:])
+	_, _ = hash.Write(e.Value)
+	return hash.Sum64()
+}
+
+// contents is an immutable set of entries with its digest: whoever holds one may read it
+// for as long as it likes, whatever is changed meanwhile.
+type contents struct {
+	tree   *iradix.Tree[*Entry]
+	digest uint64
+	bytes  int // of all keys and values
+}
+
+func emptyContents() contents { return contents{tree: iradix.New[*Entry]()} }
+
+// editor changes a copy of contents.
+type editor struct {
+	txn    *iradix.Txn[*Entry]
+	digest uint64
+	bytes  int
+}
+
+func (c contents) edit() *editor { return &editor{c.tree.Txn(), c.digest, c.bytes} }
+
+// take takes an entry in, unless it holds a newer record of the key.
+func (e *editor) take(entry *Entry) {
+	key := []byte(entry.Key)
+	old, known := e.txn.Get(key)
+	if known && old.Stamp > entry.Stamp {
+		return
+	}
+	if known {
+		e.digest -= old.digest()
+		e.bytes -= old.size()
+	}
+	if entry.Dropped {
+		if known {
+			e.txn.Delete(key)
+		}
+		return
+	}
+	e.txn.Insert(key, entry)
+	e.digest += entry.digest()
+	e.bytes += entry.size()
+}
+
+func (e *editor) contents() contents { return contents{e.txn.Commit(), e.digest, e.bytes} }
+
+func (e *Entry) size() int { return len(e.Key) + len(e.Value) }
+
+// recomputed is the digest made from all entries anew.
+func (c contents) recomputed() uint64 {
+	sum := uint64(0)
+	c.tree.Root().Walk(func(_ []byte, entry *Entry) bool {
+		sum += entry.digest()
+		return false
+	})
+	return sum
+}
+
+// items lists the records under a prefix as the state service would.
+func (c contents) items(prefix string) []wire.Item {
+	var rows []wire.Item
+	c.tree.Root().WalkPrefix([]byte(prefix), func(_ []byte, entry *Entry) bool {
+		rows = append(rows, wire.Item{Key: entry.Key, Value: entry.Value, Stamp: entry.Stamp})
+		return false
+	})
+	return rows
+}
--- /dev/null
+++ b/internal/standby/part.go
@@ -0,0 +1,58 @@
+package standby
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/s2"
+
+	"lotusstile.dev/lotusstile/internal/peer"
+)
+
+// Limits of a part.
+const (
+	// partBytes is after how many bytes of entries a part ends.
+	partBytes = 256 << 10
+	// maxPartBytes is the most that a part may have decoded: one entry more than
+	// partBytes, of the largest size that a value may have, with room to spare.
+	maxPartBytes = 4 * partBytes
+)
+
+// encodePart makes the body of a part.
+func encodePart(entries []*Entry) (body []byte, size int, err error) {
+	plain, err := cbor.Marshal(entries)
+	if err != nil {
+		return nil, 0, fmt.Errorf("encode part: %w", err)
+	}
+	return s2.Encode(nil, plain), len(plain), nil
+}
+
+// decodePart takes the body of a part apart. Nothing larger than is allowed is unpacked.
+func decodePart(reply *peer.FollowReply) ([]*Entry, error) {
+	size, err := s2.DecodedLen(reply.Body)
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("%w: %w", ErrUndecodable, err)
+	case size > maxPartBytes || reply.Size > maxPartBytes:
+		return nil, fmt.Errorf("%w: %d bytes", ErrOversized, max(size, reply.Size))
+	case size != reply.Size:
+		return nil, fmt.Errorf("%w: %d bytes of %d", ErrTruncated, size, reply.Size)
+	}
+	plain, err := s2.Decode(nil, reply.Body)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUndecodable, err)
+	}
+	var entries []*Entry
+	if err := cbor.Unmarshal(plain, &entries); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUndecodable, err)
+	}
+	if len(entries) != reply.Entries {
+		return nil, fmt.Errorf("%w: %d entries of %d", ErrTruncated, len(entries), reply.Entries)
+	}
+	for _, entry := range entries {
+		if entry == nil || entry.Key == "" {
+			return nil, fmt.Errorf("%w: an entry without a key", ErrUndecodable)
+		}
+	}
+	return entries, nil
+}
--- /dev/null
+++ b/internal/standby/positions.go
@@ -0,0 +1,88 @@
+package standby
+
+import "lotusstile.dev/lotusstile/wire"
+
+// positions tells up to which revision of the state service all commits of a term are known
+// to the leader that made them.
+//
+// A commit is open from before it is sent until its outcome is settled. It can only get a
+// revision above its floor, the newest one that was known before it was sent, since
+// revisions grow. So every commit at or below the least floor of the open ones is closed:
+// what it changed is known, or it changed nothing.
+type positions struct {
+	known uint64 // newest revision that an answer has told
+	next  uint64
+	open  map[uint64]*openCommit
+}
+
+// openCommit is a commit whose outcome is not settled.
+type openCommit struct {
+	floor     uint64
+	unsettled map[string]bool // after an unknown outcome: keys that it may change yet
+}
+
+// begin opens a commit and returns its number.
+func (p *positions) begin() uint64 {
+	p.next++
+	p.open[p.next] = &openCommit{floor: p.known}
+	return p.next
+}
+
+// close settles a commit whose outcome is known.
+func (p *positions) close(id uint64) { delete(p.open, id) }
+
+// lose notes that a commit's outcome is unknown: it may have been carried out, or may be
+// later. It is settled once each of its keys has been changed by a later commit: its
+// guards of these keys fail from then on.
+func (p *positions) lose(id uint64, keys []string) {
+	c := p.open[id]
+	if c == nil {
+		return
+	}
+	if len(keys) == 0 {
+		p.close(id)
+		return
+	}
+	c.unsettled = map[string]bool{}
+	for _, key := range keys {
+		c.unsettled[key] = true
+	}
+}
+
+// changed notes that a commit has changed keys at a revision, and settles what was lost
+// before it began.
+func (p *positions) changed(id uint64, keys []string, revision uint64) {
+	p.close(id)
+	p.known = max(p.known, revision)
+	for lost, c := range p.open {
+		if c.unsettled == nil || lost > id {
+			continue
+		}
+		for _, key := range keys {
+			delete(c.unsettled, key)
+		}
+		if len(c.unsettled) == 0 {
+			p.close(lost)
+		}
+	}
+}
+
+// position is the revision up to which every commit of the term is known.
+func (p *positions) position() uint64 {
+	least := p.known
+	for _, c := range p.open {
+		least = min(least, c.floor)
+	}
+	return least
+}
+
+// recordKeys lists the keys of followed records that a commit changes.
+func recordKeys(tx wire.Commit) []string {
+	var keys []string
+	for _, change := range tx.Apply {
+		if key := change.Set + change.Drop; isRecord(key) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
--- /dev/null
+++ b/internal/standby/proof.go
@@ -0,0 +1,125 @@
+package standby
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/store"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// Proven is a copy that agrees with the state service: its records are those that a
+// listing begun after the election would show.
+type Proven struct {
+	Pieces, Returns, Images []wire.Item
+	// Hints are the views of the leader before: nothing is proven about them.
+	Machines []MachineView
+	Jobs     []JobView
+	Leader   LeaderView
+
+	FollowedTerm, Position uint64
+	Digest                 uint64
+	Age                    time.Duration // of the copy, when the check began
+	Changes                int           // records that had changed since
+}
+
+// Prove checks what is held for a term that this node has been elected for. The election
+// itself shows that the leader before is silent: the state service has ended its lease, and
+// guards refuse its commits. The changes after the followed position are read after that,
+// so all commits of earlier terms are among them or part of the copy.
+//
+// An error that wraps ErrNothingHeld, ErrDigest, ErrTooFarBehind or ErrUndecodable is final:
+// all records have to be listed. After any other the check can be tried again.
+func (f *Follower) Prove(ctx context.Context, r ledger.Reader, term uint64) (*Proven, error) {
+	h, err := f.verify(term)
+	if err != nil {
+		return nil, err
+	}
+	if sum := h.recomputed(); sum != h.digest {
+		return nil, f.fail(fmt.Errorf("%w at %d", ErrDigest, h.sequence))
+	}
+	news, err := changesSince(ctx, r, h.position)
+	if errors.Is(err, store.ErrTooOld) {
+		return nil, f.fail(fmt.Errorf("%w: %d", ErrTooFarBehind, h.position))
+	}
+	if err != nil {
+		return nil, fmt.Errorf("changes after %d: %w", h.position, err)
+	}
+	p, err := prove(h, news)
+	if err != nil {
+		return nil, f.fail(err)
+	}
+	p.Age = f.now().Sub(h.at)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.change(Ready, fmt.Sprintf("agrees with the state service: %d changes after %d", p.Changes, p.Position))
+	return p, nil
+}
+
+// verify begins the check, or goes on with it.
+func (f *Follower) verify(term uint64) (*held, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.held == nil || f.held.term >= term {
+		f.held = nil
+		f.change(Empty, "nothing complete is held")
+		return nil, ErrNothingHeld
+	}
+	f.change(Verifying, fmt.Sprintf("elected for term %d", term))
+	return f.held, nil
+}
+
+// fail gives the copy up.
+func (f *Follower) fail(err error) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refuse(err)
+	return err
+}
+
+// Promote notes that the controller of this node's term has taken over what is held.
+func (f *Follower) Promote(cause string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.held = nil
+	f.change(Promoted, cause)
+}
+
+// changesSince reads what has changed of the followed records, all prefixes at once.
+func changesSince(ctx context.Context, r ledger.Reader, position uint64) ([]wire.News, error) {
+	var wg sync.WaitGroup
+	changes := make([]wire.Changes, len(recordPrefixes))
+	errs := make([]error, len(recordPrefixes))
+	for i, prefix := range recordPrefixes {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			changes[i], errs[i] = r.Changes(ctx, prefix, position, 0)
+		}()
+	}
+	wg.Wait()
+	var news []wire.News
+	for i := range changes {
+		news = append(news, changes[i].News...)
+	}
+	return news, errors.Join(errs...)
+}
+
+// prove takes changes into a copy and lists what it then holds.
+func prove(h *held, news []wire.News) (*Proven, error) {
+	edit := h.edit()
+	for _, n := range news {
+		edit.take(&Entry{Key: n.Set + n.Drop, Value: n.Value, Stamp: n.Stamp, Dropped: n.Drop != ""})
+	}
+	now := edit.contents()
+	p := &Proven{Pieces: now.items(ledger.PiecePrefix), Returns: now.items(ledger.ReturnsPrefix), Images: now.items(ledger.ImagesPrefix),
+		FollowedTerm: h.term, Position: h.position, Digest: h.digest, Changes: len(news)}
+	if err := now.views(p); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
--- /dev/null
+++ b/internal/standby/service_test.go
@@ -0,0 +1,125 @@
+package standby
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/store"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// outcome is what a fake state service does with a commit.
+type outcome int
+
+const (
+	carriedOut outcome = iota
+	refusedThen
+	lostAnswer  // carried out, and the answer is lost
+	lostRequest // neither
+	lateRequest // the answer is lost, and it is carried out later if its guards still hold
+	outcomes
+)
+
+// service is a fake state service that keeps its whole history.
+type service struct {
+	epoch uint64
+	items map[string]wire.Item
+	log   []wire.News
+	kept  uint64 // changes up to here are no longer kept
+	down  error
+	next  outcome // of the next commit
+	late  []wire.Commit
+}
+
+func newService() *service { return &service{items: map[string]wire.Item{}} }
+
+// elect makes a new term.
+func (s *service) elect() uint64 {
+	s.apply(wire.Commit{Apply: []wire.Change{{Set: ledger.LeaderKey, Value: []byte(`{}`)}}})
+	return s.epoch
+}
+
+func (s *service) apply(tx wire.Commit) bool {
+	for _, g := range tx.Guards {
+		if s.items[g.Key].Stamp != g.Stamp {
+			return false
+		}
+	}
+	s.epoch++
+	for _, c := range tx.Apply {
+		if c.Drop != "" {
+			delete(s.items, c.Drop)
+			s.log = append(s.log, wire.News{Drop: c.Drop, Stamp: s.epoch})
+			continue
+		}
+		s.items[c.Set] = wire.Item{Key: c.Set, Value: c.Value, Stamp: s.epoch}
+		s.log = append(s.log, wire.News{Set: c.Set, Value: c.Value, Stamp: s.epoch})
+	}
+	return true
+}
+
+// deliverLate carries out one of the held commits, if there are any.
+func (s *service) deliverLate(i int) {
+	if len(s.late) == 0 {
+		return
+	}
+	i %= len(s.late)
+	s.apply(s.late[i])
+	s.late = slices.Delete(s.late, i, i+1)
+}
+
+func (s *service) Commit(_ context.Context, tx wire.Commit) (uint64, error) {
+	how := s.next
+	s.next = carriedOut
+	switch how {
+	case refusedThen:
+		return 0, store.ErrRefused
+	case lostRequest:
+		return 0, store.ErrUnknown
+	case lateRequest:
+		s.late = append(s.late, tx)
+		return 0, store.ErrUnknown
+	}
+	if !s.apply(tx) {
+		return 0, &store.ConflictError{Failed: []string{"some"}}
+	}
+	if how == lostAnswer {
+		return 0, store.ErrUnknown
+	}
+	return s.epoch, nil
+}
+
+func (s *service) Get(_ context.Context, key string) (wire.Item, bool, error) {
+	item, ok := s.items[key]
+	return item, ok, s.down
+}
+
+func (s *service) List(_ context.Context, under string) ([]wire.Item, uint64, error) {
+	var rows []wire.Item
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if strings.HasPrefix(key, under) {
+			rows = append(rows, s.items[key])
+		}
+	}
+	return rows, s.epoch, s.down
+}
+
+func (s *service) Changes(_ context.Context, under string, after uint64, _ time.Duration) (wire.Changes, error) {
+	if s.down != nil {
+		return wire.Changes{}, s.down
+	}
+	if after < s.kept {
+		return wire.Changes{}, store.ErrTooOld
+	}
+	ch := wire.Changes{Epoch: s.epoch}
+	for _, n := range s.log {
+		if n.Stamp > after && strings.HasPrefix(n.Set+n.Drop, under) {
+			ch.News = append(ch.News, n)
+		}
+	}
+	return ch, nil
+}
--- /dev/null
+++ b/internal/standby/source.go
@@ -0,0 +1,348 @@
+package standby
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/peer"
+	"lotusstile.dev/lotusstile/internal/store"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// Views is what a leader knows beyond its records.
+type Views interface {
+	// TakeChangedViews returns views that have changed since it was last called, at most
+	// so many, and whether there are more. The first call after a while returns all.
+	TakeChangedViews(most int) (changed []*Entry, more bool)
+}
+
+// Limits of a source.
+const (
+	// loggedChanges is how many changes a follower may lag behind before it has to take
+	// everything anew.
+	loggedChanges = 1 << 15
+	// viewsAtOnce is how many views are taken in one go: the leader's rounds wait for no
+	// more than these.
+	viewsAtOnce = 256
+)
+
+// change is what was changed by a sequence number.
+type change struct {
+	sequence uint64
+	key      string
+}
+
+// Source is what a leader's term offers to its standby.
+type Source struct {
+	term     uint64
+	members  []string
+	lifetime time.Duration // of a transfer that nobody asks for
+	now      func() time.Time
+
+	mu        sync.Mutex
+	seeded    bool
+	contents  contents
+	sequence  uint64
+	log       []change // the newest changes, oldest first
+	positions positions
+	transfers map[string]*transfer // by the standby's label
+	views     Views
+	sent      uint64 // bytes of bodies
+}
+
+// transfer is one that is under way: it reads what was held when it began.
+type transfer struct {
+	id       uint64
+	parts    int // that have been sent
+	contents contents
+	keys     []string         // that are still to be sent
+	frame    peer.FollowReply // what all its parts have in common
+	asked    time.Time
+}
+
+// NewSource makes the source of a term. members are the labels of the other controllers;
+// a transfer that is not asked for is forgotten after lifetime.
+func NewSource(term uint64, members []string, lifetime time.Duration) *Source {
+	return &Source{term: term, members: members, lifetime: lifetime, now: time.Now, contents: emptyContents(),
+		positions: positions{open: map[uint64]*openCommit{}}, transfers: map[string]*transfer{}}
+}
+
+// Seed takes the records that a term began with: all that were committed before it did.
+func (s *Source) Seed(views Views, lists ...[]wire.Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	edit := s.contents.edit()
+	for _, rows := range lists {
+		for _, row := range rows {
+			entry := &Entry{Key: row.Key, Value: row.Value, Stamp: row.Stamp}
+			if isRecord(entry.Key) {
+				edit.take(entry)
+			}
+		}
+	}
+	s.contents = edit.contents()
+	// Records of earlier terms are older than the term, and this term's own pass here.
+	s.positions.known = max(s.positions.known, s.term)
+	s.seeded, s.views = true, views
+}
+
+// take takes entries in as one change each. s.mu is held.
+func (s *Source) take(entries []*Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	edit := s.contents.edit()
+	for _, entry := range entries {
+		edit.take(entry)
+		s.sequence++
+		s.log = append(s.log, change{s.sequence, entry.Key})
+	}
+	s.contents = edit.contents()
+	if len(s.log) > 2*loggedChanges {
+		s.log = append([]change(nil), s.log[len(s.log)-loggedChanges:]...)
+	}
+}
+
+// Status is how much a source holds and has sent.
+type Status struct {
+	Sequence, Position, Sent uint64
+	Entries, Bytes           int
+}
+
+// Status tells how much it holds.
+func (s *Source) Status() Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Status{s.sequence, s.positions.position(), s.sent, s.contents.tree.Len(), s.contents.bytes}
+}
+
+// Follow answers a standby with one part of a transfer.
+func (s *Source) Follow(args peer.FollowArgs) (peer.FollowReply, error) {
+	if args.Term != s.term || !s.member(args.From) {
+		return peer.FollowReply{Term: s.term}, nil
+	}
+	if args.Transfer == 0 {
+		s.takeViews()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.seeded {
+		return peer.FollowReply{Term: s.term}, nil
+	}
+	s.forget()
+	t := s.transfers[args.From]
+	if args.Transfer == 0 {
+		t = s.begin(args.Have)
+		s.transfers[args.From] = t
+	}
+	if t == nil || args.Transfer != 0 && args.Transfer != t.id {
+		return peer.FollowReply{Term: s.term, Leading: true}, nil
+	}
+	t.asked = s.now()
+	return s.part(t, args)
+}
+
+func (s *Source) member(label string) bool {
+	for _, m := range s.members {
+		if m == label {
+			return true
+		}
+	}
+	return false
+}
+
+// takeViews takes the views that have changed, a few at a time. It must not hold s.mu for
+// long: commits pass here.
+func (s *Source) takeViews() {
+	s.mu.Lock()
+	views := s.views
+	s.mu.Unlock()
+	for more := views != nil; more; {
+		var changed []*Entry
+		changed, more = views.TakeChangedViews(viewsAtOnce)
+		s.mu.Lock()
+		s.take(changed)
+		s.mu.Unlock()
+	}
+}
+
+// forget drops transfers that are no longer asked for. s.mu is held.
+func (s *Source) forget() {
+	for label, t := range s.transfers {
+		if s.now().Sub(t.asked) > s.lifetime {
+			delete(s.transfers, label)
+		}
+	}
+}
+
+// begin begins a transfer of what has changed since a sequence number, or of everything.
+// s.mu is held.
+func (s *Source) begin(have uint64) *transfer {
+	s.positions.next++
+	t := &transfer{id: s.positions.next, contents: s.contents}
+	t.frame = peer.FollowReply{Term: s.term, Leading: true, Transfer: t.id, Base: have, Sequence: s.sequence,
+		Position: s.positions.position(), Digest: s.contents.digest}
+	if keys, ok := s.changedSince(have); ok {
+		t.keys = keys
+		return t
+	}
+	t.frame.Full, t.frame.Base = true, 0
+	t.keys = make([]string, 0, s.contents.tree.Len())
+	s.contents.tree.Root().Walk(func(_ []byte, entry *Entry) bool {
+		t.keys = append(t.keys, entry.Key)
+		return false
+	})
+	return t
+}
+
+// changedSince lists the keys that have changed since a sequence number, each once. ok is
+// false if that is no longer known. s.mu is held.
+func (s *Source) changedSince(have uint64) (keys []string, ok bool) {
+	if have == 0 || have > s.sequence || have < s.sequence && (len(s.log) == 0 || s.log[0].sequence > have+1) {
+		return nil, false
+	}
+	seen := map[string]bool{}
+	for i := len(s.log) - 1; i >= 0 && s.log[i].sequence > have; i-- {
+		if key := s.log[i].key; !seen[key] {
+			seen[key] = true
+			keys = append(keys, key)
+		}
+	}
+	return keys, true
+}
+
+// part makes the next part of a transfer. s.mu is held.
+func (s *Source) part(t *transfer, args peer.FollowArgs) (peer.FollowReply, error) {
+	if args.Part != t.parts {
+		delete(s.transfers, args.From)
+		return peer.FollowReply{Term: s.term, Leading: true}, nil
+	}
+	var entries []*Entry
+	for size := 0; len(t.keys) > 0 && size < partBytes; t.keys = t.keys[1:] {
+		entry, ok := t.contents.tree.Get([]byte(t.keys[0]))
+		if !ok {
+			entry = &Entry{Key: t.keys[0], Dropped: true, Stamp: ^uint64(0)}
+		}
+		entries = append(entries, entry)
+		size += entry.size()
+	}
+	body, size, err := encodePart(entries)
+	if err != nil {
+		return peer.FollowReply{Term: s.term}, err
+	}
+	reply := t.frame
+	reply.Part, reply.Entries, reply.Size, reply.Body = t.parts, len(entries), size, body
+	reply.Last = len(t.keys) == 0
+	t.parts++
+	s.sent += uint64(len(body))
+	if reply.Last {
+		delete(s.transfers, args.From)
+	}
+	return reply, nil
+}
+
+// Store is what a controller needs of the state service.
+type Store interface {
+	ledger.Reader
+	Get(ctx context.Context, key string) (wire.Item, bool, error)
+	Commit(ctx context.Context, tx wire.Commit) (uint64, error)
+}
+
+// Recorder is a Store that tells a Source of every commit.
+type Recorder struct {
+	Store
+	source *Source
+}
+
+// NewRecorder makes the store of a controller whose commits a source offers.
+func NewRecorder(s Store, source *Source) *Recorder { return &Recorder{s, source} }
+
+// Get reads a key. What it shows is at least as new as what the source holds.
+func (r *Recorder) Get(ctx context.Context, key string) (wire.Item, bool, error) {
+	item, found, err := r.Store.Get(ctx, key)
+	if err == nil && isRecord(key) {
+		r.source.read(key, item, found)
+	}
+	return item, found, err
+}
+
+// Commit passes a commit on and takes its outcome into the source.
+func (r *Recorder) Commit(ctx context.Context, tx wire.Commit) (uint64, error) {
+	keys := recordKeys(tx)
+	if len(keys) == 0 {
+		return r.Store.Commit(ctx, tx)
+	}
+	id := r.source.beginCommit()
+	revision, err := r.Store.Commit(ctx, tx)
+	switch {
+	case err == nil:
+		r.source.committed(id, tx, keys, revision)
+	case errors.Is(err, store.ErrUnknown):
+		r.source.lose(id, guardedKeys(tx, keys))
+	default:
+		r.source.notCarriedOut(id)
+	}
+	return revision, err
+}
+
+// guardedKeys leaves out the keys of hints, which nothing rests on: a machine's images are
+// written without a guard of their own.
+func guardedKeys(tx wire.Commit, keys []string) []string {
+	guarded := map[string]bool{}
+	for _, guard := range tx.Guards {
+		guarded[guard.Key] = true
+	}
+	var out []string
+	for _, key := range keys {
+		if guarded[key] {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
+func (s *Source) beginCommit() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.positions.begin()
+}
+
+func (s *Source) lose(id uint64, keys []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.positions.lose(id, keys)
+}
+
+func (s *Source) notCarriedOut(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.positions.close(id)
+}
+
+// committed takes a commit in that was carried out.
+func (s *Source) committed(id uint64, tx wire.Commit, keys []string, revision uint64) {
+	var entries []*Entry
+	for _, c := range tx.Apply {
+		if key := c.Set + c.Drop; isRecord(key) {
+			entries = append(entries, &Entry{Key: key, Value: c.Value, Stamp: revision, Dropped: c.Drop != ""})
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.take(entries)
+	s.positions.changed(id, keys, revision)
+}
+
+// read takes a record in as it was read.
+func (s *Source) read(key string, item wire.Item, found bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if found {
+		s.take([]*Entry{{Key: key, Value: item.Value, Stamp: item.Stamp}})
+	} else {
+		s.take([]*Entry{{Key: key, Dropped: true, Stamp: ^uint64(0)}})
+	}
+}
--- /dev/null
+++ b/internal/standby/views.go
@@ -0,0 +1,173 @@
+package standby
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/RoaringBitmap/roaring/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// Keys of views. No record has a key with this prefix.
+const (
+	machineViews  = "view/machine/"
+	jobViews      = "view/job/"
+	leaderViewKey = "view/leader"
+)
+
+// MachineView is what a leader knows of a machine from its reports and from the cloud.
+// Times are milliseconds of the time of day, 0 for none.
+type MachineView struct {
+	Host       string   `cbor:"1,keyasint"`
+	Address    string   `cbor:"2,keyasint,omitempty"`
+	Type       string   `cbor:"3,keyasint,omitempty"`
+	Zone       string   `cbor:"4,keyasint,omitempty"`
+	Spot       bool     `cbor:"5,keyasint,omitempty"`
+	Session    uint64   `cbor:"6,keyasint,omitempty"` // newest that has reported
+	Token      uint64   `cbor:"7,keyasint,omitempty"` // the leader's term, if the machine has reported with it
+	BornMs     int64    `cbor:"8,keyasint,omitempty"`
+	AvoidMs    int64    `cbor:"9,keyasint,omitempty"` // takes no launches until then
+	SpotNotice bool     `cbor:"10,keyasint,omitempty"`
+	Images     []string `cbor:"12,keyasint,omitempty"`
+}
+
+// JobView is what a leader knows of a job from reports.
+type JobView struct {
+	UID     string `cbor:"1,keyasint"`
+	Begun   bool   `cbor:"2,keyasint,omitempty"` // a task of it has run
+	Fails   int    `cbor:"3,keyasint,omitempty"` // errors of its tasks in a row
+	HoldMs  int64  `cbor:"4,keyasint,omitempty"` // it is not placed before
+	WaitMs  int64  `cbor:"5,keyasint,omitempty"` // since when nothing of it ran
+	Running []byte `cbor:"6,keyasint,omitempty"` // bitmap of its running tasks, see RunningTasks
+	// By running task, in order: the attempt, and since when it runs in seconds of the time
+	// of day after SinceS.
+	Tries  []uint64 `cbor:"7,keyasint,omitempty"`
+	SinceS int64    `cbor:"8,keyasint,omitempty"`
+	AfterS []uint32 `cbor:"9,keyasint,omitempty"`
+}
+
+// RunningTask is a task that has been reported running.
+type RunningTask struct {
+	Task   int
+	Try    uint64
+	SinceS int64 // seconds of the time of day
+}
+
+// SetRunning keeps the running tasks, which must be in order.
+func (v *JobView) SetRunning(tasks []RunningTask) error {
+	if len(tasks) == 0 {
+		return nil
+	}
+	set := roaring.New()
+	v.SinceS = tasks[0].SinceS
+	for _, t := range tasks {
+		v.SinceS = min(v.SinceS, t.SinceS)
+	}
+	for _, t := range tasks {
+		set.Add(uint32(t.Task))
+		v.Tries = append(v.Tries, t.Try)
+		v.AfterS = append(v.AfterS, uint32(t.SinceS-v.SinceS))
+	}
+	set.RunOptimize()
+	body, err := set.ToBytes()
+	if err != nil {
+		return fmt.Errorf("encode tasks of %s: %w", v.UID, err)
+	}
+	v.Running = body
+	return nil
+}
+
+// RunningTasks lists the running tasks.
+func (v *JobView) RunningTasks() ([]RunningTask, error) {
+	if len(v.Running) == 0 {
+		return nil, nil
+	}
+	set := roaring.New()
+	if _, err := set.FromBuffer(v.Running); err != nil {
+		return nil, fmt.Errorf("%w: tasks of %s: %w", ErrUndecodable, v.UID, err)
+	}
+	if err := set.Validate(); err != nil {
+		return nil, fmt.Errorf("%w: tasks of %s: %w", ErrUndecodable, v.UID, err)
+	}
+	if n := int(set.GetCardinality()); n != len(v.Tries) || n != len(v.AfterS) {
+		return nil, fmt.Errorf("%w: %d tasks of %s have %d tries", ErrUndecodable, n, v.UID, len(v.Tries))
+	}
+	var tasks []RunningTask
+	for i, task := range set.ToArray() {
+		tasks = append(tasks, RunningTask{int(task), v.Tries[i], v.SinceS + int64(v.AfterS[i])})
+	}
+	return tasks, nil
+}
+
+// LeaderView is what a leader has learned that belongs to no machine or job.
+type LeaderView struct {
+	Window   int       `cbor:"1,keyasint,omitempty"`
+	Refusals []Refusal `cbor:"2,keyasint,omitempty"`
+	Arrivals []Arrival `cbor:"3,keyasint,omitempty"`
+}
+
+// Refusal is a group of machines that the cloud had no more of.
+type Refusal struct {
+	Type, Zone string
+	Spot       bool
+	UntilMs    int64
+	PauseMs    int64
+}
+
+// Arrival is how often jobs of a class have come.
+type Arrival struct {
+	Class       string
+	Job         wire.Work // one of them
+	Count       float64
+	TasksSquare float64 // tasks of a job, squared, on the mean
+	AtMs        int64
+}
+
+// Entry makes the entry of a view.
+func (v *MachineView) Entry() (*Entry, error) { return viewEntry(machineViews+v.Host, v) }
+
+// Entry makes the entry of a view.
+func (v *JobView) Entry() (*Entry, error) { return viewEntry(jobViews+v.UID, v) }
+
+// Entry makes the entry of a view.
+func (v *LeaderView) Entry() (*Entry, error) { return viewEntry(leaderViewKey, v) }
+
+// NoMachine is the entry that takes a machine's view away.
+func NoMachine(host string) *Entry { return &Entry{Key: machineViews + host, Dropped: true} }
+
+// NoJob is the entry that takes a job's view away.
+func NoJob(uid string) *Entry { return &Entry{Key: jobViews + uid, Dropped: true} }
+
+func viewEntry(key string, view any) (*Entry, error) {
+	value, err := cbor.Marshal(view)
+	if err != nil {
+		return nil, fmt.Errorf("encode %s: %w", key, err)
+	}
+	return &Entry{Key: key, Value: value}, nil
+}
+
+// views decodes all views into p.
+func (c contents) views(p *Proven) error {
+	var failed error
+	decode := func(entry *Entry, into any) {
+		if err := cbor.Unmarshal(entry.Value, into); err != nil && failed == nil {
+			failed = fmt.Errorf("%w: %s: %w", ErrUndecodable, entry.Key, err)
+		}
+	}
+	c.tree.Root().WalkPrefix([]byte("view/"), func(_ []byte, entry *Entry) bool {
+		switch {
+		case strings.HasPrefix(entry.Key, machineViews):
+			p.Machines = append(p.Machines, MachineView{})
+			decode(entry, &p.Machines[len(p.Machines)-1])
+		case strings.HasPrefix(entry.Key, jobViews):
+			p.Jobs = append(p.Jobs, JobView{})
+			decode(entry, &p.Jobs[len(p.Jobs)-1])
+		case entry.Key == leaderViewKey:
+			decode(entry, &p.Leader)
+		}
+		return failed != nil
+	})
+	return failed
+}
--- a/internal/standin/day_test.go
+++ b/internal/standin/day_test.go
@@ -100,6 +100,8 @@
 	// relayConnections, if above 0, lets followers relay reports, with so many connections
 	// to a node.
 	relayConnections int
+	// standby lets followers follow the leader's state.
+	standby bool
 }
 
 func newDay(t testing.TB, seed uint64, prepare ...func(d *day)) *day {
@@ -123,6 +125,7 @@
 	if d.relayConnections > 0 {
 		cfg.RelayCheckIns, cfg.Cluster.Limits.MaxConnections = !d.old[i], d.relayConnections
 	}
+	cfg.WarmStandby = d.standby && !d.old[i]
 	l := labels[i]
 	ctx, cancel := context.WithCancel(context.Background())
 	state := d.net.Port(l)
--- a/internal/standin/release_test.go
+++ b/internal/standin/release_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"slices"
@@ -13,7 +14,8 @@
 )
 
 // release lets a node meet its peers as its release does: one of the release before
-// cluster version 2 says no version, reads none, passes over Awaits, and knows no relays.
+// cluster version 2 says no version, reads none, passes over Awaits, and knows no relays and no
+// standbys.
 type release struct {
 	peer.Handler
 	d    *day
@@ -26,10 +28,19 @@
 	if r.d.old[r.node] || r.d.old[slices.Index(labels, a.From)] {
 		reply.Version = 0
 		reply.Relays, reply.Relaying = false, false
+		reply.Follows, reply.Standby = false, ""
 	}
 	return reply
 }
 
+// FollowState answers a standby: the release before does not know the question.
+func (r release) FollowState(a peer.FollowArgs) (peer.FollowReply, error) {
+	if r.d.old[r.node] {
+		return peer.FollowReply{}, errors.New("rpc: can't find method Controller.FollowState")
+	}
+	return r.Handler.FollowState(a)
+}
+
 // User answers a request that a peer passes on.
 func (r release) User(a peer.UserArgs) peer.UserReply {
 	if r.d.old[r.node] {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -56,6 +56,7 @@
 	CloseLooks  bool // users ask at all nodes at once when something is new
 	CancelAtEnd bool // users call off jobs in the moment of their end
 	lateStarts  int
+	decisions   map[uint64]time.Time // by term: when its first placement was committed
 }
 
 // finalWord is the final status that a user was told, and when.
@@ -69,13 +70,25 @@
 	w := &World{Cfg: cfg, Net: nw, State: NewState(), Catalog: cat, Nodes: nodes, begun: time.Now(), workers: map[string]*Worker{},
 		bookings: map[string][]string{}, specs: map[string]wire.Work{}, done: map[string]map[int]bool{},
 		on: newOccupancy(), aborted: map[string]time.Time{}, asked: map[string]bool{}, accepted: map[string]time.Time{},
-		final: map[string]finalWord{}, waits: map[string]time.Time{}, begins: map[string]time.Time{}, Capacity: 12, PollEvery: 3 * time.Second}
+		final: map[string]finalWord{}, waits: map[string]time.Time{}, begins: map[string]time.Time{}, decisions: map[uint64]time.Time{}, Capacity: 12, PollEvery: 3 * time.Second}
 	w.State.Judge = w.judgeCommit
 	nw.Attach(cfg.Services.State, w.State, nil)
 	nw.Attach(cfg.Services.Cloud, http.HandlerFunc(w.cloud), nil)
 	return w
 }
 
+// BrokenByRule counts the rules that were broken, with one case of each.
+func (w *World) BrokenByRule() (counts map[string]int, cases []string) {
+	counts = map[string]int{}
+	for _, breach := range w.Broken() {
+		rule, _, _ := strings.Cut(breach, " ")
+		if counts[rule]++; counts[rule] == 1 {
+			cases = append(cases, breach)
+		}
+	}
+	return counts, cases
+}
+
 // Broken lists the rules that were broken.
 func (w *World) Broken() []string {
 	w.mu.Lock()
@@ -124,6 +137,9 @@
 	}
 	for _, c := range tx.Apply {
 		key := c.Set + c.Drop
+		if uid, _, ok := ledger.SplitPieceKey(c.Set); ok && jobs[uid] {
+			w.decided(guarded[ledger.LeaderKey]) // only launches are guarded by their job
+		}
 		if uid, _, ok := ledger.SplitPieceKey(c.Set); ok && guarded[c.Set] == 0 && !jobs[uid] {
 			w.rule("unguarded", "%s is made without a guard of its job: %v", key, tx.Guards)
 		}
@@ -140,6 +156,28 @@
 	}
 }
 
+// decided notes a term's first placement.
+func (w *World) decided(term uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if _, known := w.decisions[term]; !known {
+		w.decisions[term] = time.Now()
+	}
+}
+
+// FirstDecision is when the first placement of a term newer than the given one was
+// committed; ok is false if there was none yet.
+func (w *World) FirstDecision(after uint64) (at time.Time, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for term, decided := range w.decisions {
+		if term > after && (!ok || decided.Before(at)) {
+			at, ok = decided, true
+		}
+	}
+	return at, ok
+}
+
 // judgeLaunch checks that a launch was recorded before it was sent.
 func (w *World) judgeLaunch(name string, try uint64, host string) {
 	if !w.recorded(name, try, host) {
--- a/wire/admin.go
+++ b/wire/admin.go
@@ -18,6 +18,25 @@
 	Term   uint64
 	Proof  float64     // seconds since the state service was last read from here
 	Lead   *LeadStatus `json:",omitempty"` // as the leader tells, if it is reached
+	// How this node follows the leader's state, or offers its own; only where warm
+	// standbys are switched on.
+	WarmStandby *StandbyStatus `json:",omitempty"`
+}
+
+// StandbyStatus is a node's part in keeping a warm standby.
+type StandbyStatus struct {
+	State    string            // of this node's copy
+	Cause    string            // of its last change of state
+	Leader   string            `json:",omitempty"` // that the copy comes from
+	Term     uint64            `json:",omitempty"`
+	Sequence uint64            // changes in the copy, or offered by this node if it leads
+	Position uint64            // revision of the state service up to which all records are part of it
+	LagS     float64           // age of the copy
+	Entries  int               // records and views
+	Bytes    int               // of them
+	Moved    uint64            // bytes that this node has taken, or sent if it leads
+	Refused  map[string]uint64 `json:",omitempty"` // parts that were not taken, by cause
+	Standby  string            `json:",omitempty"` // at the leader: the node that is to follow it
 }
 
 // LeadStatus is what only the leader knows.
