--- a/cmd/fleetsim/main.go
+++ b/cmd/fleetsim/main.go
@@ -44,6 +44,9 @@
 	Delay       time.Duration `default:"4ms" help:"What the state service and the cloud take to answer."`
 	For         time.Duration `default:"2m" help:"How long to run."`
 	Seed        uint64        `default:"1" help:"Seed of what happens by chance."`
+	Run         string        `help:"Command that runs a controller: the controllers are run by it as processes, with their settings files."`
+	Ends        int           `default:"0" help:"Leaders that are killed, or stand still, at random moments; needs --run."`
+	EndEvery    time.Duration `default:"20s" help:"Time from one to the next on the mean."`
 }
 
 const settings = `label = "node-%[1]d"
@@ -124,6 +127,9 @@
 }
 
 func (c *cli) run() error {
+	if c.Ends > 0 && c.Run == "" {
+		return errors.New("--ends needs --run")
+	}
 	if c.Controllers < 1 || c.Controllers > 10 || c.Zones < 1 || c.Teams < 1 || c.Tasks < 1 {
 		return errors.New("there must be 1 to 10 controllers, and at least one zone, team and task")
 	}
@@ -164,9 +170,38 @@
 	for i, zone := range c.zones() {
 		world.AddMachines("g8", zone, c.Machines*(i+1)/c.Zones-c.Machines*i/c.Zones)
 	}
-	fmt.Printf("settings in %s; start the controllers with them\n", c.Dir)
+	if c.Run == "" {
+		fmt.Printf("settings in %s; start the controllers with them\n", c.Dir)
+		c.load(world)
+	} else if err := c.runControllers(world); err != nil {
+		return err
+	}
+	// Jobs that are not over when the run ends count as forgotten.
+	counts, cases := world.BrokenByRule()
+	fmt.Printf("%d tasks started; rules broken: %v; the first of each: %q\n", world.Started(), counts, cases)
+	return nil
+}
+
+// runControllers runs the controllers as processes under load, and ends leaders.
+func (c *cli) runControllers(world *standin.World) error {
+	p := newProcesses(c.Run, c.Dir, c.Controllers)
+	defer p.end()
+	for i := range c.Controllers {
+		if err := p.start(i); err != nil {
+			return err
+		}
+	}
+	t := &takeovers{c: c, world: world, processes: p, rng: rand.New(rand.NewPCG(c.Seed, 2))}
+	ended := make(chan error, 1)
+	go func() { ended <- t.run(c.Ends) }()
 	c.load(world)
-	fmt.Printf("%d tasks started; rules broken: %q\n", world.Started(), world.Broken())
+	if c.Ends > 0 {
+		if err := <-ended; err != nil {
+			return err
+		}
+		t.print()
+	}
+	c.printCost(p, world)
 	return nil
 }
 
