--- a/internal/api/standby.go
+++ b/internal/api/standby.go
@@ -163,9 +163,11 @@
 		}
 		n.standby.mu.Unlock()
 		switch {
-		case leader != "" && told == n.cfg.Label:
+		case leader == "":
+			n.standby.follower.NotHeard()
+		case told == n.cfg.Label:
 			n.standby.follower.Pull(leader, term)
-		case leader != "" && told != "":
+		case told != "":
 			n.standby.follower.Drop("another node follows the leader")
 		}
 	}
--- a/internal/standby/follower.go
+++ b/internal/standby/follower.go
@@ -143,6 +143,15 @@
 	}
 }
 
+// NotHeard notes that no leader is reached: what is held grows old.
+func (f *Follower) NotHeard() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.state == Following {
+		f.missed(errNotHeard)
+	}
+}
+
 // refuse drops everything: what the leader sent is wrong. f.mu is held.
 func (f *Follower) refuse(err error) {
 	slog.Warn("standby starts anew", "err", err)
@@ -198,6 +207,8 @@
 	}
 }
 
+var errNotHeard = errors.New("no leader is reached")
+
 var errNotOffered = errors.New("the leader offers nothing now")
 
 // checkPart refuses a part that does not follow on what is held or on the part before.
--- a/internal/standin/standby_test.go
+++ b/internal/standin/standby_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -63,11 +64,7 @@
 	if !ok {
 		return
 	}
-	var leader ledger.Leader
-	if err := json.Unmarshal(item.Value, &leader); err != nil {
-		d.t.Fatal(err)
-	}
-	i := slices.Index(labels, leader.Node)
+	i, _ := d.leaderOfRecord(item.Value)
 	ended := time.Now()
 	if r.IntN(2) == 0 {
 		d.crash(i)
@@ -87,14 +84,24 @@
 		}
 	}
 	time.Sleep(6 * time.Second)
-	var rec ledger.Takeover
-	if record, ok := d.w.State.Get(ledger.TakeoverKey); ok {
-		if err := json.Unmarshal(record.Value, &rec); err != nil {
-			d.t.Error(err)
-		}
-		if rec.Warm && rec.Term > item.Stamp {
-			result.warm++
+	if rec := d.takeover(); rec.Warm && rec.Term > item.Stamp {
+		result.warm++
+	}
+}
+
+// jobsComeAndGo submits short jobs until shortly before a deadline. Users call some of them
+// off, by way of any node.
+func (d *day) jobsComeAndGo(seed uint64, deadline time.Time) {
+	jobs := rand.New(rand.NewPCG(seed, 3))
+	for i := 0; time.Now().Before(deadline.Add(-20 * time.Second)); i++ {
+		spec := wire.Work{UID: fmt.Sprintf("run-%06d", i), Berth: "batch", Crew: "free", Shape: wire.Sweep, Rank: wire.High, Legs: 1 + jobs.IntN(4),
+			Cores: 4, Gpus: 1, RAMGb: 20, Rollout: "img", ImageGb: 1, ExpectS: float64(2 + jobs.IntN(8))}
+		stay := time.Duration(0)
+		if jobs.IntN(3) == 0 {
+			stay = time.Duration(1+jobs.IntN(6)) * time.Second
 		}
+		go d.w.User(spec, stay, deadline)
+		time.Sleep(time.Duration(200+jobs.IntN(300)) * time.Millisecond)
 	}
 }
 
@@ -108,19 +115,7 @@
 		d.w.AddMachines("g8", "b", 5)
 		time.Sleep(12 * time.Second)
 		deadline := time.Now().Add(time.Duration(ends) * 40 * time.Second)
-		jobs := rand.New(rand.NewPCG(seed, 3))
-		go func() {
-			for i := 0; time.Now().Before(deadline.Add(-20 * time.Second)); i++ {
-				spec := wire.Work{UID: fmt.Sprintf("run-%06d", i), Berth: "batch", Crew: "free", Shape: wire.Sweep, Rank: wire.High, Legs: 1 + jobs.IntN(4),
-					Cores: 4, Gpus: 1, RAMGb: 20, Rollout: "img", ImageGb: 1, ExpectS: float64(2 + jobs.IntN(8))}
-				stay := time.Duration(0)
-				if jobs.IntN(3) == 0 {
-					stay = time.Duration(1+jobs.IntN(6)) * time.Second // called off, by way of any node
-				}
-				go d.w.User(spec, stay, deadline)
-				time.Sleep(time.Duration(200+jobs.IntN(300)) * time.Millisecond)
-			}
-		}()
+		go d.jobsComeAndGo(seed, deadline)
 		for range ends {
 			time.Sleep(time.Duration(8000+r.IntN(4000)) * time.Millisecond)
 			d.endLeader(r, &result)
@@ -161,3 +156,138 @@
 		})
 	}
 }
+
+// leaderAndStandby are the numbers of the node that leads and of the one that is to follow it.
+func (d *day) leaderAndStandby() (leads, follows int) {
+	item, _ := d.w.State.Get(ledger.LeaderKey)
+	leads, label := d.leaderOfRecord(item.Value)
+	status := d.status(label)
+	if status.WarmStandby == nil {
+		d.t.Fatal("the leader keeps no standby")
+	}
+	return leads, slices.Index(labels, status.WarmStandby.Standby)
+}
+
+// status asks a node how it stands.
+func (d *day) status(node string) (st wire.Status) {
+	client := http.Client{Transport: d.net.Port("operator"), Timeout: 3 * time.Second}
+	resp, err := client.Get("http://" + node + "/admin/status")
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(&st); err != nil {
+		d.t.Fatal(err)
+	}
+	return st
+}
+
+// newLeader waits for a leader of a newer term and returns its number.
+func (d *day) newLeader(after uint64) int {
+	for range 6000 {
+		if item, ok := d.w.State.Get(ledger.LeaderKey); ok && item.Stamp > after {
+			leads, _ := d.leaderOfRecord(item.Value)
+			return leads
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	d.t.Fatal("nobody leads")
+	return 0
+}
+
+func (d *day) leaderOfRecord(value []byte) (number int, label string) {
+	var leader ledger.Leader
+	if err := json.Unmarshal(value, &leader); err != nil {
+		d.t.Fatal(err)
+	}
+	return slices.Index(labels, leader.Node), leader.Node
+}
+
+// takeover is how the newest change of leader went.
+func (d *day) takeover() (rec ledger.Takeover) {
+	item, ok := d.w.State.Get(ledger.TakeoverKey)
+	if !ok {
+		return rec
+	}
+	if err := json.Unmarshal(item.Value, &rec); err != nil {
+		d.t.Fatal(err)
+	}
+	return rec
+}
+
+// The hard cases of a takeover, each while jobs come and go: no rule is broken, tasks are
+// placed again, and the new leader says what it has proven, or why it has listed all records.
+func TestTakeoverHardCases(t *testing.T) {
+	quiet(t)
+	for _, tc := range []struct {
+		name string
+		// trouble comes before the leader ends, and returns what ends it.
+		trouble func(d *day, leads, follows int) (end func())
+		// after is done once there is a new leader.
+		after func(d *day, leads int)
+		warm  bool
+	}{
+		{name: "followed to the end", warm: true},
+		{name: "the stream is cut for minutes", warm: true,
+			trouble: func(d *day, leads, follows int) func() {
+				d.net.Cut(labels[leads]+":81", labels[follows]+":81", true)
+				d.net.Cut(labels[leads]+":81", labels[3-leads-follows]+":81", true)
+				time.Sleep(3 * time.Minute)
+				if st := d.status(labels[follows]).WarmStandby; st.State != "behind" || st.LagS < 170 {
+					d.t.Errorf("the standby is %s, its lag %.0f s", st.State, st.LagS)
+				}
+				return func() { d.net.Heal() }
+			}},
+		{name: "the state service refuses the standby alone", warm: false,
+			trouble: func(d *day, _, follows int) func() {
+				d.net.Refuse(labels[follows], "state:1", true)
+				return func() { d.net.Refuse(labels[follows], "state:1", false) }
+			}},
+		{name: "the standby dies during its verification", warm: false,
+			after: func(d *day, leads int) {
+				d.crash(leads)
+				time.AfterFunc(20*time.Second, func() { d.start(leads) })
+			}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				d := newDay(t, 950, func(d *day) { d.standby = true })
+				d.w.AddMachines("g8", "a", 5)
+				d.w.AddMachines("g8", "b", 5)
+				deadline := time.Now().Add(6 * time.Minute)
+				go d.jobsComeAndGo(950, deadline)
+				time.Sleep(20 * time.Second)
+				leads, follows := d.leaderAndStandby()
+				if st := d.status(labels[follows]).WarmStandby; st.State != "following" || st.LagS > 3 {
+					t.Fatalf("the standby is %s (%s), its lag %.1f s", st.State, st.Cause, st.LagS)
+				}
+				restore := func() {}
+				if tc.trouble != nil {
+					restore = tc.trouble(d, leads, follows)
+				}
+				item, _ := d.w.State.Get(ledger.LeaderKey)
+				d.crash(leads)
+				next := d.newLeader(item.Stamp)
+				if tc.after != nil {
+					tc.after(d, next)
+				}
+				time.Sleep(15 * time.Second)
+				rec := d.takeover()
+				if rec.Term <= item.Stamp || rec.Warm != tc.warm || rec.Warm != (rec.Cause == "") {
+					t.Errorf("the takeover is %+v, expected warm %v", rec, tc.warm)
+				}
+				if _, ok := d.w.FirstDecision(item.Stamp); !ok {
+					t.Error("nothing is placed")
+				}
+				restore()
+				d.start(leads)
+				time.Sleep(time.Until(deadline))
+				if broken := d.w.Broken(); len(broken) > 0 {
+					t.Errorf("rules broken:\n%s", strings.Join(broken, "\n"))
+				}
+				d.end()
+			})
+		})
+	}
+}
