Left-overs: names of machines and attempts, Fleet.Report and preempt in parts, the judge's race

TestViewsProveNothing: with views that mislead, the picture is that of the records, and reports count as without. TestProofThatIsNotAnswered, TestChangedViews.

--- a/internal/controller/announce.go
+++ b/internal/controller/announce.go
@@ -57,8 +57,8 @@
 		if m.State == fleet.Booting && !m.Listed || now.Sub(c.announced[m.ID]) < 3*every {
 			return
 		}
-		shift := max(m.Shift, m.SessionHint)
-		m.Each(func(a *fleet.Attempt) { shift = max(shift, a.Shift) })
+		shift := max(m.Session, m.SessionHint)
+		m.Each(func(a *fleet.Attempt) { shift = max(shift, a.Session) })
 		ts = append(ts, announcement{m.ID, m.Address, max(shift, 1)})
 	})
 	// Any of them, for most may be gone together: one that answers is enough to
--- a/internal/controller/checkin.go
+++ b/internal/controller/checkin.go
@@ -38,7 +38,7 @@
 	}
 	now := c.now()
 	before := c.fleet.Get(r.Host)
-	wasDirect := before != nil && before.Shift != 0 && before.Via == ""
+	wasDirect := before != nil && before.Session != 0 && before.Via == ""
 	m, fresh := c.fleet.Report(r, now)
 	if !fresh {
 		return o, true
@@ -55,7 +55,7 @@
 	c.waitForCommands(ctx, m)
 	// Commands answer the newest report only: the worker drops this answer if it
 	// has sent another one.
-	if m.Shift == r.Shift && m.Tick == r.Tick && ctx.Err() == nil {
+	if m.Session == r.Shift && m.Sequence == r.Tick && ctx.Err() == nil {
 		o.Orders = c.fleet.Orders(m, c.now(), c.mayLaunch())
 	}
 	return o, true
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -1,6 +1,9 @@
 // Package controller is the leader at work: it keeps the picture, runs the
 // rounds, writes what they decide, answers workers and looks after machines.
 // One Controller lives for one term.
+//
+// All parts share one picture under one lock, since a round has to see it at one moment. Each
+// field belongs to the files that the comment above its group names: others only read it.
 package controller
 
 import (
@@ -84,37 +87,55 @@
 	resolveWake chan struct{} // a job waits for one whose final status is not known
 	now         func() time.Time
 
-	mu             sync.Mutex
-	cancel         context.CancelFunc
-	loaded         bool
-	begun          time.Time
-	fleet          *fleet.Fleet
+	mu sync.Mutex
+
+	// The term: controller.go, load.go, takeover.go.
+	cancel    context.CancelFunc
+	begun     time.Time
+	loaded    bool
+	warmTries int // checks of what was followed that the state service did not answer
+	takeover  *takeover
+
+	// Jobs and their attempts: events.go, dependencies.go, status.go.
 	jobs           map[string]*job
 	graph          *pipeline.Graph
-	cat            *wire.Catalog
-	rents          int // counter in booking names
-	pending        map[string]*rental
-	refused        map[provision.Group]refusal
-	window         int
 	countsRevision uint64 // counts changes of jobs' counts of tasks
+	fleet          *fleet.Fleet
+
+	// Rounds: round.go, picture.go, spare.go.
+	window        int
+	last          wire.RoundStatus
+	lastAt        time.Time
+	arrive        map[string]*arrivals
+	spareMachines map[string]bool // machines kept as spare room by the last round
+
+	// The cloud: rent.go.
+	cat     *wire.Catalog
+	rents   int // counter in booking names
+	pending map[string]*rental
+	refused map[provision.Group]refusal
+
+	// Returns: returns.go.
 	returns        map[string]*pendingReturn
 	returnsRecords []returnsRecord
 	returnKeys     int // counter in their keys
-	arrive         map[string]*arrivals
-	announced      map[string]time.Time     // when the token was last announced, by machine
+
+	// Who is alive: lost.go.
+	steady        time.Time            // since when liveness is judged
+	cutOff        map[string]time.Time // by zone: when most of it was last silent
+	carrierLost   map[string]time.Time // while followers relay, by controller: when its links last seemed lost
+	answersPaused bool                 // no reports are answered: no machine is declared lost for its silence
+
+	// Answers to workers: checkin.go, announce.go.
 	waitingAnswers map[string]chan struct{} // check-ins that wait for commands, by machine
-	cutOff         map[string]time.Time     // by zone: when most of it was last silent
-	noted          map[string]imageNote     // which images of a machine are recorded
-	spareMachines  map[string]bool          // machines kept as spare room by the last round
-	carrierLost    map[string]time.Time     // while followers relay, by controller: when its links last seemed lost
-	last           wire.RoundStatus
-	lastAt         time.Time
-	steady         time.Time
-	singlesUntil   time.Time // until when jobs are written one by one
-	views          viewChanges
-	takeover       *takeover
-	warmTries      int  // checks of what was followed that the state service did not answer
-	answersPaused  bool // no reports are answered: no machine is declared lost for its silence
+	announced      map[string]time.Time     // when the token was last announced, by machine
+
+	// Records: writer.go, limits.go, images.go.
+	singlesUntil time.Time            // until when jobs are written one by one
+	noted        map[string]imageNote // which images of a machine are recorded
+
+	// What a standby follows: views.go.
+	views viewChanges
 }
 
 // New makes the controller of a term.
@@ -217,17 +238,17 @@
 
 // capacity fills in what a machine of its type offers.
 func (c *Controller) capacity(m *fleet.Machine) {
-	if c.cat == nil || m.Rig == "" {
+	if c.cat == nil || m.Type == "" {
 		return
 	}
 	for i := range c.cat.Rigs {
-		if c.cat.Rigs[i].Sku == m.Rig {
+		if c.cat.Rigs[i].Sku == m.Type {
 			m.Cap = provision.Cap(&c.cat.Rigs[i])
 		}
 	}
 }
 
-func (c *Controller) rig(sku string) *wire.Rig {
+func (c *Controller) machineType(sku string) *wire.Rig {
 	if c.cat == nil {
 		return nil
 	}
@@ -241,7 +262,7 @@
 
 // MachineChanged logs a machine's change of state.
 func (c *Controller) MachineChanged(m *fleet.Machine, from fleet.MachineState, why string) {
-	slog.Info("machine", "host", m.ID, "from", from.String(), "to", m.State.String(), "shift", m.Shift, "why", why)
+	slog.Info("machine", "host", m.ID, "from", from.String(), "to", m.State.String(), "shift", m.Session, "why", why)
 	c.views.machine(m.ID)
 	c.noteReady(m)
 }
--- a/internal/controller/events.go
+++ b/internal/controller/events.go
@@ -77,11 +77,11 @@
 	}
 	j.begun = j.begun || a.State == fleet.Running
 	c.countsChanged(j)
-	p := j.piece(a.Leg)
-	if from < fleet.Ended && !a.Live() && p.live[a.Leg] == a {
-		delete(p.live, a.Leg)
+	p := j.piece(a.Task)
+	if from < fleet.Ended && !a.Live() && p.live[a.Task] == a {
+		delete(p.live, a.Task)
 		j.live--
-		j.freed = append(j.freed, a.Leg)
+		j.freed = append(j.freed, a.Task)
 		if a.Cause != wire.CauseDone {
 			j.lost++
 		}
@@ -107,7 +107,7 @@
 // ended takes the end of an attempt into its job.
 func (c *Controller) ended(j *job, p *piece, a *fleet.Attempt) {
 	now := c.now()
-	i := a.Leg % j.rec.Per
+	i := a.Task % j.rec.Per
 	switch a.Cause {
 	case wire.CauseDone:
 		if !p.done.DoneBit(i) {
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -174,7 +174,7 @@
 func (p *piece) record() ledger.Piece {
 	rec := ledger.Piece{Next: p.next, Done: p.done.Done}
 	for _, a := range p.live {
-		rec.Live = append(rec.Live, ledger.Placed{Leg: a.Leg, Try: a.Try, Host: a.Machine.ID, Shift: a.Shift})
+		rec.Live = append(rec.Live, ledger.Placed{Leg: a.Task, Try: a.Try, Host: a.Machine.ID, Shift: a.Session})
 	}
 	return rec
 }
@@ -186,9 +186,9 @@
 	if ledger.FitsPlain(tasks, valueBytes) {
 		return true
 	}
-	bytes := ledger.DenseBytes(ledger.Placed{Leg: leg, Try: p.next, Host: m.ID, Shift: m.Shift}, tasks)
+	bytes := ledger.DenseBytes(ledger.Placed{Leg: leg, Try: p.next, Host: m.ID, Shift: m.Session}, tasks)
 	for _, a := range p.live {
-		bytes += ledger.DenseBytes(ledger.Placed{Leg: a.Leg, Try: a.Try, Host: a.Machine.ID, Shift: a.Shift}, tasks)
+		bytes += ledger.DenseBytes(ledger.Placed{Leg: a.Task, Try: a.Try, Host: a.Machine.ID, Shift: a.Session}, tasks)
 	}
 	return bytes <= ledger.DenseRoom(valueBytes, tasks)
 }
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -48,7 +48,7 @@
 	c.takeImages(recs.images, now)
 	c.hintMachines(recs.hints, now)
 	inherited := c.takePieces(recs.pieces, now)
-	c.hintJobs(recs.hints)
+	c.hintJobs(recs.hints, now)
 	for _, j := range c.jobs {
 		c.countsChanged(j)
 		if j.rec.Status == wire.JobAborted {
@@ -166,7 +166,7 @@
 		}
 		for _, pl := range j.load(n, row) {
 			m := c.fleet.Know(pl.Host, now)
-			a := &fleet.Attempt{UID: uid, Leg: pl.Leg, Try: pl.Try, Shift: pl.Shift, Need: j.need,
+			a := &fleet.Attempt{UID: uid, Task: pl.Leg, Try: pl.Try, Session: pl.Shift, Need: j.need,
 				Image: j.rec.Spec.Rollout, Inherited: true}
 			j.pieces[n].live[pl.Leg] = a
 			j.live++
--- /dev/null
+++ b/internal/controller/load_test.go
@@ -0,0 +1,158 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/standby"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// listing is a state service that only lists.
+type listing struct {
+	Store
+	rows   map[string][]wire.Item
+	listed int
+}
+
+func (l *listing) List(_ context.Context, under string) ([]wire.Item, uint64, error) {
+	l.listed++
+	return l.rows[under], 4, nil
+}
+
+func (l *listing) Changes(context.Context, string, uint64, time.Duration) (wire.Changes, error) {
+	return wire.Changes{Epoch: 4}, nil
+}
+
+// recordsOfTwoTasks are a job with two tasks on machines, and a machine that is returned.
+func recordsOfTwoTasks() map[string][]wire.Item {
+	job := ledger.Job{Spec: wire.Work{UID: "run-000001", Berth: "serve", Shape: wire.Standing, Rank: wire.High, Legs: 2, Cores: 1, Rollout: "img"}, Status: wire.JobQueued, Per: 8}
+	piece := ledger.Piece{Next: 3, Live: []ledger.Placed{{Leg: 0, Try: 1, Host: "m-1", Shift: 1}, {Leg: 1, Try: 2, Host: "m-2", Shift: 1}}}
+	return map[string][]wire.Item{
+		ledger.JobPrefix:     {{Key: ledger.JobKey("run-000001"), Value: ledger.Encode(job), Stamp: 2}},
+		ledger.PiecePrefix:   {{Key: ledger.PieceKey("run-000001", 0), Value: ledger.Encode(piece), Stamp: 3}},
+		ledger.ReturnsPrefix: {{Key: ledger.ReturnsPrefix + "3-1", Value: ledger.Encode(ledger.Returns{Hosts: []string{"m-3"}}), Stamp: 4}},
+	}
+}
+
+// misleading is a proof whose views say what is not so: that a machine is in a later session,
+// that another one which was returned takes work, and that nothing of the job runs.
+func misleading(t *testing.T, rows map[string][]wire.Item) *standby.Proven {
+	job := standby.JobView{UID: "run-000001", Begun: true}
+	if err := job.SetRunning([]standby.RunningTask{{Task: 0, Try: 1, SinceS: 900}, {Task: 1, Try: 9, SinceS: 900}, {Task: 7, Try: 1, SinceS: 900}}); err != nil {
+		t.Fatal(err)
+	}
+	return &standby.Proven{Pieces: rows[ledger.PiecePrefix], Returns: rows[ledger.ReturnsPrefix], Jobs: []standby.JobView{job},
+		Machines: []standby.MachineView{
+			{Host: "m-1", Type: "g8", Zone: "a", Session: 9, Token: 4, Images: []string{"img"}},
+			{Host: "m-3", Type: "g8", Zone: "a", Session: 1, Token: 4},
+			{Host: "m-4", Type: "g8", Zone: "b", Session: 1, Token: 4}}}
+}
+
+// A standby is no proof that a task is off, nor that a machine takes work: with whatever views,
+// the picture has the attempts and returns of the records, no machine is ready before it
+// reports, and reports count as without views.
+func TestViewsProveNothing(t *testing.T) {
+	rows := recordsOfTwoTasks()
+	for _, proof := range []struct {
+		name   string
+		err    error
+		listed int
+	}{{"warm", nil, 0}, {"cold", standby.ErrDigest, 4}} {
+		now := time.Unix(1000, 0)
+		c := watched(&now)
+		c.loaded = false
+		store := &listing{rows: rows}
+		c.Store = store
+		c.Mirror.Reset(rows[ledger.JobPrefix], 4, time.Now().Add(-time.Second))
+		c.Mirror.Listen(c.jobEvent)
+		c.Prove = func(context.Context, uint64) (*standby.Proven, error) { return misleading(t, rows), proof.err }
+		if err := c.load(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		if store.listed != proof.listed || c.takeover.rec.Warm != (proof.err == nil) {
+			t.Errorf("%s: %d listings, the takeover is %+v", proof.name, store.listed, c.takeover.rec)
+		}
+		j := c.jobs["run-000001"]
+		if j.live != 2 || c.fleet.Get("m-3").State != fleet.Returning {
+			t.Errorf("%s: %d attempts, the returned machine is %s", proof.name, j.live, c.fleet.Get("m-3").State)
+		}
+		j.each(func(a *fleet.Attempt) {
+			if a.State != fleet.Committed || !a.Inherited || a.Machine.State != fleet.Booting {
+				t.Errorf("%s: %s is %s on a machine that is %s", proof.name, a.Name(), a.State, a.Machine.State)
+			}
+		})
+		// The machine is in the session that its task is known from, whatever the view says.
+		c.fleet.Report(&wire.Report{Host: "m-1", Yard: "a", Shift: 1, Tick: 7, Baton: 5,
+			Legs: []wire.LegReport{{Leg: "run-000001/0", Try: 1, Status: wire.LegRunning}}}, now)
+		if a := j.attempt(0); a == nil || a.State != fleet.Running {
+			t.Errorf("%s: a running task is not taken over", proof.name)
+		}
+	}
+}
+
+// While the state service does not answer, the proof is tried again, and then all is listed.
+func TestProofThatIsNotAnswered(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := watched(&now)
+	c.loaded = false
+	store := &listing{rows: recordsOfTwoTasks()}
+	c.Store = store
+	tries := 0
+	c.Prove = func(context.Context, uint64) (*standby.Proven, error) { tries++; return nil, errors.New("503") }
+	for range warmTries {
+		if err := c.load(context.Background()); err == nil || store.listed > 0 {
+			t.Fatalf("after %d tries: loaded with %v, %d listings", tries, err, store.listed)
+		}
+	}
+	if err := c.load(context.Background()); err != nil || tries != warmTries || !c.loaded {
+		t.Errorf("after %d tries: %v", tries, err)
+	}
+}
+
+// Views are made of what has changed, and of everything for a standby that asks anew.
+func TestChangedViews(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := watched(&now)
+	for i := range 600 {
+		c.hearFrom(i, 1, now)
+	}
+	take := func() (keys []string) {
+		for more := true; more; {
+			var entries []*standby.Entry
+			entries, more = c.TakeChangedViews(256)
+			if len(entries) > 257 {
+				t.Fatalf("%d views at once", len(entries))
+			}
+			for _, e := range entries {
+				keys = append(keys, e.Key)
+			}
+		}
+		slices.Sort(keys)
+		return keys
+	}
+	if keys := take(); len(keys) != 601 {
+		t.Errorf("%d views at first", len(keys))
+	}
+	m := c.fleet.Get("m-007")
+	c.fleet.Place(m, &fleet.Attempt{UID: "run-000001", Try: 1, Session: 1, Inherited: true}, now)
+	c.fleet.Report(&wire.Report{Host: "m-007", Yard: "b", Shift: 1, Tick: 2, Baton: 5,
+		Legs: []wire.LegReport{{Leg: "run-000001/0", Try: 1, Status: wire.LegRunning}}}, now)
+	if keys := fmt.Sprint(take()); keys != "[view/job/run-000001 view/leader view/machine/m-007]" {
+		t.Errorf("changed views are %s", keys)
+	}
+	now = now.Add(time.Minute)
+	c.stopIdleViews(now)
+	if c.views.on {
+		t.Error("changes are noted although nobody asks")
+	}
+	if keys := take(); len(keys) != 601 {
+		t.Errorf("%d views after a while", len(keys))
+	}
+}
--- a/internal/controller/lost.go
+++ b/internal/controller/lost.go
@@ -103,7 +103,7 @@
 			return
 		}
 		silent := now.Sub(m.Reported)
-		for _, yard := range slices.Compact([]string{"", m.Yard}) {
+		for _, yard := range slices.Compact([]string{"", m.Zone}) {
 			z := zones[yard]
 			z.total++
 			if silent > 3*every {
@@ -184,7 +184,7 @@
 	// When a cut ends, machines come back one after the other: the last ones
 	// must not be taken for lost because the others are back.
 	cutOff := func(m *fleet.Machine) bool {
-		at, ok := c.cutOff[m.Yard]
+		at, ok := c.cutOff[m.Zone]
 		return ok && now.Sub(at) < lease
 	}
 	// The first machines behind a cut are quiet for three intervals while the
@@ -216,7 +216,7 @@
 		if k := carriers[m.Via]; k.silent > max(1, k.total/part) {
 			return false // it is rather the controller that they report to
 		}
-		z := zones[m.Yard]
+		z := zones[m.Zone]
 		return !cutOff(m) && z.silent <= max(1, z.total/part)
 	}
 	// Behind a cut, a node without the state service stops renewing leases in
@@ -240,7 +240,7 @@
 			c.startReturn(m, now, "silent while others report")
 		case m.State == fleet.Booting && m.LiveCount() == 0:
 			boot := 60.0
-			if r := c.rig(m.Rig); r != nil {
+			if r := c.machineType(m.Type); r != nil {
 				boot = r.BootS
 			}
 			if now.Sub(m.Born).Seconds() > 3.5*boot && settled {
--- a/internal/controller/picture.go
+++ b/internal/controller/picture.go
@@ -53,9 +53,9 @@
 	p.in.Nodes, p.machines = make([]sched.Node, 0, size), make([]*fleet.Machine, 0, size)
 	c.fleet.Each(func(m *fleet.Machine) { c.addNode(p, m, top, now) })
 	for _, r := range c.pending {
-		room := provision.Cap(c.rig(r.req.Rig))
+		room := provision.Cap(c.machineType(r.req.Rig))
 		for range r.req.HowMany {
-			p.in.Nodes = append(p.in.Nodes, sched.Node{ID: r.req.Booking, Rig: r.req.Rig, Yard: r.req.Yard, Standby: r.req.Standby,
+			p.in.Nodes = append(p.in.Nodes, sched.Node{ID: r.req.Booking, Type: r.req.Rig, Zone: r.req.Yard, Spot: r.req.Standby,
 				Cap: room, Later: room, Price: c.price(r.req.Rig, r.req.Standby)})
 			p.machines = append(p.machines, nil)
 		}
@@ -81,14 +81,14 @@
 	byYard, known := map[string]int{}, true
 	if j.live > 0 && (spec.Together || spec.Scatter) {
 		j.each(func(a *fleet.Attempt) {
-			byYard[a.Machine.Yard]++
-			known = known && a.Machine.Yard != ""
+			byYard[a.Machine.Zone]++
+			known = known && a.Machine.Zone != ""
 		})
 	}
 	if !known {
 		return nil // a zone that a task may be in is not known yet
 	}
-	sj := &sched.Job{Spec: spec, Level: c.levelNow(j, now), AtMs: j.fromMs, Waiting: waiting, Live: j.live, ByYard: byYard,
+	sj := &sched.Job{Spec: spec, Level: c.levelNow(j, now), AtMs: j.fromMs, Waiting: waiting, Live: j.live, ByZone: byYard,
 		WaitedS: now.Sub(j.waitFrom).Seconds(), SlackS: c.slackS(spec), LaxS: c.laxS(j, now), Avoid: c.avoids(j, now)}
 	// What a service has lost is down until it has its image again.
 	sj.Fetch = sj.SlackS < 0 || j.lost > 0 && spec.Shape == wire.Standing
@@ -136,11 +136,11 @@
 // addNode adds a machine as a round sees it, if it takes launches now or soon.
 // top is the highest level that waits.
 func (c *Controller) addNode(p *picture, m *fleet.Machine, top int, now time.Time) {
-	n := sched.Node{ID: m.ID, Rig: m.Rig, Yard: m.Yard, Standby: m.Standby, Cap: m.Cap, Price: c.price(m.Rig, m.Standby)}
+	n := sched.Node{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Cap: m.Cap, Price: c.price(m.Type, m.Spot)}
 	switch {
 	case m.Takes(now) && m.Orphans() == 0:
 		n.Free, n.Soon, n.Cache = m.Free(), m.Free(), m
-		n.Leaving = !m.Standby && !c.spareMachines[m.ID]
+		n.Leaving = !m.Spot && !c.spareMachines[m.ID]
 		m.Each(func(a *fleet.Attempt) {
 			j := c.jobs[a.UID]
 			if !a.Live() {
@@ -210,7 +210,7 @@
 			continue
 		}
 		for _, yard := range r.Yards {
-			if sched.Allowed(w, r.Sku, yard, true) && !now.Before(c.refused[provision.Group{Rig: r.Sku, Yard: yard, Standby: true}].until) {
+			if sched.Allowed(w, r.Sku, yard, true) && !now.Before(c.refused[provision.Group{Type: r.Sku, Zone: yard, Spot: true}].until) {
 				return false
 			}
 		}
@@ -220,7 +220,7 @@
 
 // price is what a machine costs per hour.
 func (c *Controller) price(sku string, standby bool) float64 {
-	r := c.rig(sku)
+	r := c.machineType(sku)
 	switch {
 	case r == nil:
 		return 0
@@ -297,7 +297,7 @@
 	case fleet.Confirming:
 		return !now.Before(m.AvoidUntil)
 	case fleet.Booting:
-		r := c.rig(m.Rig)
+		r := c.machineType(m.Type)
 		return r != nil && now.Sub(m.Born).Seconds() < 1.7*r.BootS+2*c.Config.Cluster.Workers.ReportS
 	}
 	return false
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -26,7 +26,7 @@
 // again.
 func (c *Controller) book(r provision.Rent) *rental {
 	c.rents++
-	req := wire.RentRequest{Booking: fmt.Sprintf("lt-%d-%d", c.term, c.rents), Rig: r.Rig, Yard: r.Yard, Standby: r.Standby, HowMany: r.Count}
+	req := wire.RentRequest{Booking: fmt.Sprintf("lt-%d-%d", c.term, c.rents), Rig: r.Type, Yard: r.Zone, Standby: r.Spot, HowMany: r.Count}
 	out := &rental{req}
 	c.pending[req.Booking] = out
 	return out
@@ -35,7 +35,7 @@
 // rent asks the cloud until it answers, for a while.
 func (c *Controller) rent(ctx context.Context, r *rental) {
 	pause := c.Config.ListLag() / 4
-	group := provision.Group{Rig: r.req.Rig, Yard: r.req.Yard, Standby: r.req.Standby}
+	group := provision.Group{Type: r.req.Rig, Zone: r.req.Yard, Spot: r.req.Standby}
 	for try := 0; try < 4 && ctx.Err() == nil; try++ {
 		hosts, err := c.Cloud.Rent(ctx, r.req)
 		if err == nil {
@@ -49,7 +49,7 @@
 			}
 			for _, h := range hosts {
 				m := c.fleet.Know(h, now)
-				m.Rig, m.Yard, m.Standby = r.req.Rig, r.req.Yard, r.req.Standby
+				m.Type, m.Zone, m.Spot = r.req.Rig, r.req.Yard, r.req.Standby
 				c.capacity(m)
 			}
 			c.mu.Unlock()
@@ -121,7 +121,7 @@
 		}
 		if !m.Listed {
 			m.Listed = true
-			m.Rig, m.Yard, m.Standby, m.Address = h.Rig, h.Yard, h.Standby, h.Address
+			m.Type, m.Zone, m.Spot, m.Address = h.Rig, h.Yard, h.Standby, h.Address
 			if born := asked.Add(-time.Duration(h.AgeS * float64(time.Second))); born.Before(m.Born) {
 				m.Born = born
 			}
--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -129,7 +129,7 @@
 			if !p.dirty || p.due.After(now) {
 				budget--
 			}
-			a := &fleet.Attempt{UID: j.uid, Leg: leg, Try: p.next, Need: j.need, Image: j.rec.Spec.Rollout}
+			a := &fleet.Attempt{UID: j.uid, Task: leg, Try: p.next, Need: j.need, Image: j.rec.Spec.Rollout}
 			if j.rec.Spec.Shape == wire.Group {
 				a.Try = j.gangTry()
 			}
--- a/internal/controller/spare.go
+++ b/internal/controller/spare.go
@@ -63,7 +63,7 @@
 		spec.UID, spec.Legs, spec.Shape, spec.Together, spec.Scatter = "", 1, wire.Sweep, false, false
 		fetch := c.slackS(a.spec) < 0
 		for i := range n {
-			jobs = append(jobs, &sched.Job{Spec: &spec, Level: a.level, AtMs: int64(i), Waiting: 1, ByYard: map[string]int{}, Fetch: fetch})
+			jobs = append(jobs, &sched.Job{Spec: &spec, Level: a.level, AtMs: int64(i), Waiting: 1, ByZone: map[string]int{}, Fetch: fetch})
 		}
 	}
 	return jobs
@@ -95,7 +95,7 @@
 		return nil
 	}
 	population := map[string]int{}
-	c.fleet.Each(func(m *fleet.Machine) { population[m.Yard]++ })
+	c.fleet.Each(func(m *fleet.Machine) { population[m.Zone]++ })
 	shorts := append(append([]sched.Short{}, plan.Shorts...), spare.Shorts...)
 	rents := provision.Rents(c.cat, shorts, population, func(g provision.Group) bool { return now.Before(c.refused[g].until) })
 	var out []*rental
@@ -126,12 +126,12 @@
 	// else they could hold the last capacity that the cloud has, for ever.
 	wanted := func(m *fleet.Machine) bool {
 		return slices.ContainsFunc(shorts, func(s sched.Short) bool {
-			return sched.Allowed(s.Job.Spec, m.Rig, m.Yard, m.Standby) && m.Cap.Holds(fleet.Need(s.Job.Spec))
+			return sched.Allowed(s.Job.Spec, m.Type, m.Zone, m.Spot) && m.Cap.Holds(fleet.Need(s.Job.Spec))
 		})
 	}
 	var idle []*fleet.Machine
 	c.fleet.Each(func(m *fleet.Machine) {
-		r := c.rig(m.Rig)
+		r := c.machineType(m.Type)
 		if m.State != fleet.Ready || m.LiveCount() > 0 || kept[m.ID] || r == nil || wanted(m) {
 			return
 		}
@@ -143,7 +143,7 @@
 		idle = append(idle, m)
 	})
 	slices.SortFunc(idle, func(a, b *fleet.Machine) int {
-		return cmp.Or(cmp.Compare(c.price(b.Rig, b.Standby), c.price(a.Rig, a.Standby)), cmp.Compare(b.ID, a.ID))
+		return cmp.Or(cmp.Compare(c.price(b.Type, b.Spot), c.price(a.Type, a.Spot)), cmp.Compare(b.ID, a.ID))
 	})
 	for _, m := range idle[:(len(idle)+3)/4] {
 		c.startReturn(m, now, "idle")
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -107,7 +107,7 @@
 	if m == nil || m.State == fleet.Gone {
 		return standby.NoMachine(host), nil
 	}
-	v := standby.MachineView{Host: host, Address: m.Address, Type: m.Rig, Zone: m.Yard, Spot: m.Standby, Session: m.Shift,
+	v := standby.MachineView{Host: host, Address: m.Address, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Session: m.Session,
 		BornMs: milliseconds(m.Born), AvoidMs: milliseconds(m.AvoidUntil), SpotNotice: m.Warned,
 		Images: slices.Sorted(maps.Keys(m.Images))}
 	if m.State == fleet.Ready {
@@ -125,7 +125,7 @@
 	var running []standby.RunningTask
 	j.each(func(a *fleet.Attempt) {
 		if !a.RunAt.IsZero() {
-			running = append(running, standby.RunningTask{Task: a.Leg, Try: a.Try, SinceS: a.RunAt.Unix()})
+			running = append(running, standby.RunningTask{Task: a.Task, Try: a.Try, SinceS: a.RunAt.Unix()})
 		}
 	})
 	slices.SortFunc(running, func(a, b standby.RunningTask) int { return cmp.Compare(a.Task, b.Task) })
@@ -138,7 +138,7 @@
 func (c *Controller) leaderView() *standby.LeaderView {
 	v := &standby.LeaderView{Window: c.window}
 	for g, r := range c.refused {
-		v.Refusals = append(v.Refusals, standby.Refusal{Type: g.Rig, Zone: g.Yard, Spot: g.Standby, UntilMs: milliseconds(r.until), PauseMs: r.pause.Milliseconds()})
+		v.Refusals = append(v.Refusals, standby.Refusal{Type: g.Type, Zone: g.Zone, Spot: g.Spot, UntilMs: milliseconds(r.until), PauseMs: r.pause.Milliseconds()})
 	}
 	for class, a := range c.arrive {
 		v.Arrivals = append(v.Arrivals, standby.Arrival{Class: class, Job: *a.spec, Count: a.count, TasksSquare: a.legs2, AtMs: milliseconds(a.at)})
@@ -159,7 +159,7 @@
 		if m.State != fleet.Booting {
 			continue
 		}
-		m.Address, m.Rig, m.Yard, m.Standby = v.Address, v.Type, v.Zone, v.Spot
+		m.Address, m.Type, m.Zone, m.Spot = v.Address, v.Type, v.Zone, v.Spot
 		m.SessionHint, m.Warned, m.AvoidUntil = v.Session, v.SpotNotice, fromMilliseconds(v.AvoidMs)
 		if born := fromMilliseconds(v.BornMs); !born.IsZero() && born.Before(m.Born) {
 			m.Born = born
@@ -170,7 +170,7 @@
 		c.capacity(m)
 	}
 	for _, r := range p.Leader.Refusals {
-		c.refused[provision.Group{Rig: r.Type, Yard: r.Zone, Standby: r.Spot}] = refusal{fromMilliseconds(r.UntilMs), time.Duration(r.PauseMs) * time.Millisecond}
+		c.refused[provision.Group{Type: r.Type, Zone: r.Zone, Spot: r.Spot}] = refusal{fromMilliseconds(r.UntilMs), time.Duration(r.PauseMs) * time.Millisecond}
 	}
 	for _, a := range p.Leader.Arrivals {
 		job := a.Job
@@ -182,7 +182,7 @@
 }
 
 // hintJobs takes what the leader before knew of jobs. c.mu is held.
-func (c *Controller) hintJobs(p *standby.Proven) {
+func (c *Controller) hintJobs(p *standby.Proven, now time.Time) {
 	if p == nil {
 		return
 	}
@@ -206,7 +206,7 @@
 				continue
 			}
 			if a := j.attempt(t.Task); a != nil && a.Try == t.Try {
-				a.RunAt = time.Unix(t.SinceS, 0)
+				a.RunAt = time.Unix(min(t.SinceS, now.Unix()), 0)
 			}
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -84,26 +84,26 @@
 
 // Attempt is one try of one task on one machine.
 type Attempt struct {
-	UID       string
-	Leg       int
-	Try       uint64
-	Shift     uint64 // session of the machine that it was decided for
-	Need      Res
-	Image     string
-	Machine   *Machine
-	State     AttemptState
-	SentTick  uint64 // newest report whose answer carried the launch
-	Inherited bool   // decided in an earlier term
-	Stopping  bool   // is to be stopped
-	LeewayS   float64
-	Cause     wire.Cause
-	Kept      bool
-	Since     time.Time // of the last change of state
-	RunAt     time.Time // when first seen running
+	UID          string
+	Task         int
+	Try          uint64
+	Session      uint64 // session of the machine that it was decided for
+	Need         Res
+	Image        string
+	Machine      *Machine
+	State        AttemptState
+	SentSequence uint64 // newest report whose answer carried the launch
+	Inherited    bool   // decided in an earlier term
+	Stopping     bool   // is to be stopped
+	LeewayS      float64
+	Cause        wire.Cause
+	Kept         bool
+	Since        time.Time // of the last change of state
+	RunAt        time.Time // when first seen running
 }
 
 // Name is the task's name.
-func (a *Attempt) Name() string { return wire.LegName(a.UID, a.Leg) }
+func (a *Attempt) Name() string { return wire.LegName(a.UID, a.Task) }
 
 // Live reports whether the attempt may be on its machine, now or later.
 func (a *Attempt) Live() bool { return a.State < Ended }
@@ -119,13 +119,13 @@
 type Machine struct {
 	ID             string
 	Address        string
-	Rig            string
-	Yard           string
-	Standby        bool
+	Type           string
+	Zone           string
+	Spot           bool
 	State          MachineState
 	Cap            Res
-	Shift          uint64
-	Tick           uint64
+	Session        uint64
+	Sequence       uint64
 	SessionHint    uint64    // session that an earlier leader knew: only for whom to announce to
 	Heard          time.Time // last report, here or at another node
 	Reported       time.Time // last report here
@@ -306,7 +306,7 @@
 		a.State = Committed
 	} else {
 		a.State = Planned
-		a.Shift = m.Shift
+		a.Session = m.Session
 	}
 	m.attempts[attemptKey{a.Name(), a.Try}] = a
 	m.used = m.used.Add(a.Need)
@@ -366,21 +366,45 @@
 	}
 }
 
-// Report takes a check-in into the picture and returns the orders that answer
-// it. fresh is false for a copy that is no newer than what is known: it
+// Report takes a check-in into the picture. fresh is false for a copy that is no newer than what is known: it
 // changes nothing and gets no orders.
 func (f *Fleet) Report(r *wire.Report, now time.Time) (m *Machine, fresh bool) {
 	m = f.Know(r.Host, now)
-	if m.State == Gone || r.Shift < m.Shift || (r.Shift == m.Shift && r.Tick <= m.Tick) {
+	if m.State == Gone || r.Shift < m.Session || (r.Shift == m.Session && r.Tick <= m.Sequence) {
 		return m, false
 	}
-	newSession, answeredAgo := r.Shift > m.Shift && m.Shift != 0, now.Sub(m.answered)
-	m.Shift, m.Tick, m.Heard, m.Reported, m.answered = r.Shift, r.Tick, now, now, now
-	m.Address, m.Rig, m.Yard, m.Standby = r.Address, r.Rig, r.Yard, r.Standby
+	newSession := f.noteReport(m, r, now)
+	reported := reportedAttempts(m, r)
+	confirmed := r.Baton == f.term
+	for k, a := range m.attempts {
+		switch l := reported[k]; {
+		case a.Session < r.Shift:
+			// The worker killed and forgot everything of earlier sessions, and
+			// drops every answer to a report of an earlier session.
+			f.setAttempt(a, Off, now, "machine has a new session")
+		case l != nil:
+			f.observe(a, l, now)
+		default:
+			f.missing(a, r, now)
+		}
+	}
+	if confirmed {
+		f.setMachine(m, Ready, now, "reports with this term's token")
+	} else if m.State != Ready || newSession {
+		f.setMachine(m, Confirming, now, "reports with an older token")
+	}
+	return m, true
+}
+
+// noteReport takes what a fresh report says of its machine, and reports whether the machine
+// has begun a new session.
+func (f *Fleet) noteReport(m *Machine, r *wire.Report, now time.Time) (newSession bool) {
+	newSession, answeredAgo := r.Shift > m.Session && m.Session != 0, now.Sub(m.answered)
+	m.Session, m.Sequence, m.Heard, m.Reported, m.answered = r.Shift, r.Tick, now, now, now
+	m.Address, m.Type, m.Zone, m.Spot = r.Address, r.Rig, r.Yard, r.Standby
 	if r.WarningS != nil {
 		m.Warned = true
 	}
-	confirmed := r.Baton == f.term
 	if newSession && answeredAgo < f.lease && m.State == Ready {
 		// It reported all the time and yet its lease ended: answers do not
 		// reach it. Launches would be lost, so it gets none for a while. That it
@@ -390,6 +414,12 @@
 		// given again after an outage: their leases ended for want of an answer.
 		m.AvoidUntil = now.Add(2 * f.lease)
 	}
+	return newSession
+}
+
+// reportedAttempts finds the attempts of a report, and notes those that no record knows as
+// the machine's orphans.
+func reportedAttempts(m *Machine, r *wire.Report) map[attemptKey]*wire.LegReport {
 	reported := make(map[attemptKey]*wire.LegReport, len(r.Legs))
 	m.orphans = m.orphans[:0]
 	for i := range r.Legs {
@@ -400,51 +430,46 @@
 			m.orphans = append(m.orphans, orphan{l.Leg, l.Try, l.Status == wire.LegEnded})
 		}
 	}
-	for k, a := range m.attempts {
-		// The worker killed and forgot everything of earlier sessions, and
-		// drops every answer to a report of an earlier session.
-		if a.Shift < r.Shift {
-			f.setAttempt(a, Off, now, "machine has a new session")
-			continue
+	return reported
+}
+
+// missing takes into account that a fresh report of an attempt's session lacks it.
+func (f *Fleet) missing(a *Attempt, r *wire.Report, now time.Time) {
+	confirmed := r.Baton == f.term
+	switch a.State {
+	case Committed:
+		// An earlier term's launch can only have travelled in an answer
+		// to a report that the worker sent before it saw this term's token.
+		if a.Inherited && confirmed {
+			f.setAttempt(a, Off, now, "not on its machine")
 		}
-		if l := reported[k]; l != nil {
-			f.observe(a, l, now)
-			continue
+	case Sent:
+		// The worker has one report in flight: since it sent this one, it
+		// drops the answer that carried the launch.
+		if r.Tick > a.SentSequence {
+			f.launchMissed(a, now)
 		}
-		switch a.State {
-		case Committed:
-			// An earlier term's launch can only have travelled in an answer
-			// to a report that the worker sent before it saw this term's token.
-			if a.Inherited && confirmed {
-				f.setAttempt(a, Off, now, "not on its machine")
-			}
-		case Sent:
-			// The worker has one report in flight: since it sent this one, it
-			// drops the answer that carried the launch.
-			if r.Tick > a.SentTick {
-				if m.MissedLaunches++; m.MissedLaunches >= missedLaunchLimit {
-					m.AvoidUntil = now.Add(2 * f.lease)
-				}
-				if a.Stopping || m.MissedLaunches >= missedLaunchLimit {
-					f.setAttempt(a, Off, now, "launch was not taken")
-				} else {
-					f.setAttempt(a, Committed, now, "launch was not taken")
-				}
-			}
-		case Fetching, Running, Saving, Ended:
-			if confirmed {
-				f.setAttempt(a, Off, now, "no longer reported")
-			}
-		case Recorded:
-			f.setAttempt(a, Off, now, "reaped")
+	case Fetching, Running, Saving, Ended:
+		if confirmed {
+			f.setAttempt(a, Off, now, "no longer reported")
 		}
+	case Recorded:
+		f.setAttempt(a, Off, now, "reaped")
 	}
-	if confirmed {
-		f.setMachine(m, Ready, now, "reports with this term's token")
-	} else if m.State != Ready || newSession {
-		f.setMachine(m, Confirming, now, "reports with an older token")
+}
+
+// launchMissed notes that a launch was not taken: it is given again, unless it is not
+// wanted any more or the machine has missed too many.
+func (f *Fleet) launchMissed(a *Attempt, now time.Time) {
+	m := a.Machine
+	if m.MissedLaunches++; m.MissedLaunches >= missedLaunchLimit {
+		m.AvoidUntil = now.Add(2 * f.lease)
+	}
+	if a.Stopping || m.MissedLaunches >= missedLaunchLimit {
+		f.setAttempt(a, Off, now, "launch was not taken")
+	} else {
+		f.setAttempt(a, Committed, now, "launch was not taken")
 	}
-	return m, true
 }
 
 // observe takes the reported state of an attempt.
@@ -504,8 +529,8 @@
 		return orders
 	}
 	for _, a := range m.attempts {
-		if a.State == Committed && !a.Inherited && !a.Stopping && a.Shift == m.Shift {
-			a.SentTick = m.Tick
+		if a.State == Committed && !a.Inherited && !a.Stopping && a.Session == m.Session {
+			a.SentSequence = m.Sequence
 			f.setAttempt(a, Sent, now, "launch given")
 			orders = append(orders, wire.Order{Verb: wire.Launch, Leg: a.Name(), Try: a.Try})
 		}
--- a/internal/provision/provision.go
+++ b/internal/provision/provision.go
@@ -14,9 +14,9 @@
 
 // Group is what a rental asks for.
 type Group struct {
-	Rig     string
-	Yard    string
-	Standby bool
+	Type string
+	Zone string
+	Spot bool
 }
 
 // Rent asks for machines of one group.
@@ -61,15 +61,15 @@
 	for _, s := range shorts {
 		need := fleet.Need(s.Job.Spec)
 		yards := map[string]int{}
-		for y, n := range s.Job.ByYard {
+		for y, n := range s.Job.ByZone {
 			yards[y] = n
 		}
 		for left := s.Count; left > 0; {
 			if i := slices.IndexFunc(bins, func(b bin) bool {
-				return b.room.Holds(need) && sched.Allowed(s.Job.Spec, b.group.Rig, b.group.Yard, b.group.Standby) && yardOK(s.Job, yards, b.group.Yard)
+				return b.room.Holds(need) && sched.Allowed(s.Job.Spec, b.group.Type, b.group.Zone, b.group.Spot) && yardOK(s.Job, yards, b.group.Zone)
 			}); i >= 0 {
 				bins[i].room = bins[i].room.Sub(need)
-				yards[bins[i].group.Yard]++
+				yards[bins[i].group.Zone]++
 				left--
 				continue
 			}
@@ -78,7 +78,7 @@
 				break
 			}
 			bins = append(bins, bin{g, room})
-			pop[g.Yard]++
+			pop[g.Zone]++
 		}
 	}
 	counts := map[Group]int{}
@@ -90,7 +90,7 @@
 		rents = append(rents, Rent{g, min(n, wire.MaxRent)})
 	}
 	slices.SortFunc(rents, func(a, b Rent) int {
-		return cmp.Or(cmp.Compare(a.Rig, b.Rig), cmp.Compare(a.Yard, b.Yard), cmp.Compare(b.Count, a.Count))
+		return cmp.Or(cmp.Compare(a.Type, b.Type), cmp.Compare(a.Zone, b.Zone), cmp.Compare(b.Count, a.Count))
 	})
 	return rents
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -20,9 +20,9 @@
 // Node is a machine as a round sees it.
 type Node struct {
 	ID      string
-	Rig     string
-	Yard    string
-	Standby bool
+	Type    string
+	Zone    string
+	Spot    bool
 	Cap     fleet.Res
 	Free    fleet.Res // usable now; zero for a machine that takes no launches
 	Soon    fleet.Res // usable once what is being stopped has ended
@@ -56,7 +56,7 @@
 	AtMs    int64
 	Waiting int            // tasks without an attempt
 	Live    int            // attempts that are not provably off
-	ByYard  map[string]int // the same by zone
+	ByZone  map[string]int // the same by zone
 	WaitedS float64
 	Fetch   bool    // the fetch of its image may make a start late
 	SlackS  float64 // what is left of the time to start after fetch and delivery
@@ -314,7 +314,7 @@
 // together tries each zone and takes the one that holds most, on the fewest
 // machines. A job that has tasks in a zone stays there.
 func (r *round) together(j *Job, want int, l layer) []Place {
-	for yard, n := range j.ByYard {
+	for yard, n := range j.ByZone {
 		if n > 0 {
 			return r.choose(j, want, l, yard)
 		}
@@ -332,7 +332,7 @@
 func (r *round) yards() []string {
 	var yards []string
 	for i := range r.in.Nodes {
-		if y := r.in.Nodes[i].Yard; !slices.Contains(yards, y) {
+		if y := r.in.Nodes[i].Zone; !slices.Contains(yards, y) {
 			yards = append(yards, y)
 		}
 	}
@@ -345,16 +345,16 @@
 	if !j.Spec.Scatter {
 		return j.Spec.Legs
 	}
-	return (j.Spec.Legs+1)/2 - j.ByYard[yard]
+	return (j.Spec.Legs+1)/2 - j.ByZone[yard]
 }
 
 func (r *round) usable(j *Job, i int, yard string) bool {
 	n := &r.in.Nodes[i]
-	if !n.Standby && !n.Fixed && j.Spec.Standby && !j.Dear && (!j.Overdue || n.Leaving && !j.Tired) || r.warm && (n.Cache == nil || !n.Cache.Has(j.Spec.Rollout)) {
+	if !n.Spot && !n.Fixed && j.Spec.Standby && !j.Dear && (!j.Overdue || n.Leaving && !j.Tired) || r.warm && (n.Cache == nil || !n.Cache.Has(j.Spec.Rollout)) {
 		return false
 	}
-	return !r.reserved[i] && (yard == "" || n.Yard == yard) &&
-		Allowed(j.Spec, n.Rig, n.Yard, n.Standby) && (j.Avoid == "" || n.ID != j.Avoid)
+	return !r.reserved[i] && (yard == "" || n.Zone == yard) &&
+		Allowed(j.Spec, n.Type, n.Zone, n.Spot) && (j.Avoid == "" || n.ID != j.Avoid)
 }
 
 // taskPrice is what a task's share of the machine costs.
@@ -433,7 +433,7 @@
 	var places []Place
 	taken := map[string]int{}
 	for o := range order.all() {
-		y := r.in.Nodes[o.node].Yard
+		y := r.in.Nodes[o.node].Zone
 		c := min(o.count, want, yardCap(j, y)-taken[y])
 		if c <= 0 {
 			continue
@@ -466,7 +466,7 @@
 			}
 		}
 		n += p.Count
-		j.ByYard[r.in.Nodes[p.Node].Yard] += p.Count
+		j.ByZone[r.in.Nodes[p.Node].Zone] += p.Count
 	}
 	j.Live += n
 	j.Waiting -= n
@@ -480,114 +480,6 @@
 	}
 }
 
-// choice is room for one task on a node once some of its victims are stopped.
-type choice struct {
-	node     int
-	from, to int // its victims are among these
-	loss     float64
-}
-
-// preempt stops work of lower levels so that up to want tasks of j fit, and
-// keeps the room for them. It never stops work for nothing: a job that starts
-// whole gets all its room or none. Replicas are only displaced for a job that
-// waited as long as a new machine takes.
-func (r *round) preempt(j *Job, want int) int {
-	if r.lowest >= j.Level {
-		return 0
-	}
-	b, bounded := r.bound(j, displaced)
-	if most, ok := r.bounds[b]; bounded && ok && (most == 0 || whole(j) && most < j.Waiting) {
-		return 0
-	}
-	need := fleet.Need(j.Spec)
-	may := func(v *Victim) bool { return v.Level < j.Level && (!v.Serve || j.Overdue) }
-	choices := r.choicesBuffer[:0]
-	for i, vs := range r.leastLost() {
-		room := r.room[soon][i]
-		if gain := room; !gain.Holds(need) {
-			for k := range vs {
-				if may(&vs[k]) {
-					gain = gain.Add(vs[k].Need)
-				}
-			}
-			if !gain.Holds(need) {
-				continue
-			}
-		}
-		if !r.usable(j, i, "") {
-			continue
-		}
-		for range room.Count(need, want) {
-			choices = append(choices, choice{node: i})
-			room = room.Sub(need)
-		}
-		c := choice{node: i}
-		for k := range vs {
-			v := &vs[k]
-			if !may(v) {
-				continue
-			}
-			room = room.Add(v.Need)
-			c.to = k + 1
-			c.loss += v.Loss + 1
-			if room.Holds(need) {
-				choices = append(choices, c)
-				c = choice{node: i, from: c.to}
-				room = room.Sub(need)
-			}
-		}
-	}
-	r.choicesBuffer = choices
-	order := least[choice]{items: choices, cmp: func(a, b choice) int {
-		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.node, b.node))
-	}}
-	var places []Place
-	var chosen []choice
-	yard := ""
-	for y, n := range j.ByYard {
-		if j.Spec.Together && n > 0 {
-			yard = y
-		}
-	}
-	taken := map[string]int{}
-	for c := range order.all() {
-		y := r.in.Nodes[c.node].Yard
-		if (j.Spec.Together && yard != "" && y != yard) || yardCap(j, y)-taken[y] <= 0 {
-			continue
-		}
-		if j.Spec.Together {
-			yard = y
-		}
-		taken[y]++
-		places = append(places, Place{j, c.node, 1})
-		chosen = append(chosen, c)
-		if len(places) == want {
-			break
-		}
-	}
-	if bounded && len(places) < want {
-		r.bounds[b] = len(places)
-	}
-	if len(places) == 0 || (whole(j) && len(places) < j.Waiting) {
-		return 0
-	}
-	stopped := map[int]bool{}
-	for _, c := range chosen {
-		for _, v := range r.victims[c.node][c.from:c.to] {
-			if may(&v) {
-				stopped[v.ID] = true
-				r.plan.Stops = append(r.plan.Stops, Stop{v.ID, j.SlackS})
-				r.grow(c.node, v.Need)
-			}
-		}
-	}
-	for _, c := range chosen {
-		r.victims[c.node] = slices.DeleteFunc(r.victims[c.node], func(v Victim) bool { return stopped[v.ID] })
-	}
-	r.take(j, places, false)
-	return len(places)
-}
-
 // reserve keeps the machines for j that have most room already, until their
 // whole capacity would hold it. Later jobs start only elsewhere.
 func (r *round) reserve(j *Job, want int) {
@@ -607,7 +499,7 @@
 		if want <= 0 {
 			break
 		}
-		y := r.in.Nodes[i].Yard
+		y := r.in.Nodes[i].Zone
 		if j.Spec.Together && yard != "" && y != yard {
 			continue
 		}
--- a/internal/standin/judge.go
+++ b/internal/standin/judge.go
@@ -277,7 +277,7 @@
 	if k.dead || now.Before(k.hungTill) || now.Before(k.sickTill) || now.Sub(k.born) < k.boot {
 		return hostLoad{}, false
 	}
-	l := hostLoad{rig: k.Rig, yard: k.Yard, standby: k.Standby}
+	l := hostLoad{rig: k.Rig, yard: k.Yard, standby: k.Spot}
 	for _, r := range k.w.Catalog.Rigs {
 		if r.Sku == k.Rig {
 			l.cores, l.gpus = r.Cores, r.Gpus
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -274,6 +274,20 @@
 	return it, ok
 }
 
+// Items lists all items under a prefix as they are at one moment, past all faults, for
+// checks.
+func (s *State) Items(under string) []wire.Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var items []wire.Item
+	for key, item := range s.items {
+		if strings.HasPrefix(key, under) {
+			items = append(items, item)
+		}
+	}
+	return items
+}
+
 // Keys lists all keys under a prefix past all faults, for checks.
 func (s *State) Keys(under string) []string {
 	s.mu.Lock()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -17,7 +17,7 @@
 type Worker struct {
 	Host, Rig, Yard string
 	Address         string // for direct commands
-	Standby         bool
+	Spot            bool
 
 	w    *World
 	born time.Time
@@ -53,7 +53,7 @@
 }
 
 func newWorker(w *World, host, rig, yard string, standby bool, boot time.Duration) *Worker {
-	return &Worker{Host: host, Rig: rig, Yard: yard, Standby: standby, w: w, born: time.Now(), boot: boot, shift: 1,
+	return &Worker{Host: host, Rig: rig, Yard: yard, Spot: standby, w: w, born: time.Now(), boot: boot, shift: 1,
 		legs: map[legKey]*leg{}, images: map[string]bool{}, poke: make(chan struct{}, 1), stop: make(chan struct{})}
 }
 
@@ -176,7 +176,7 @@
 // body makes the report as it stands. k.mu is held.
 func (k *Worker) body() []byte {
 	k.tick++
-	r := wire.Report{Host: k.Host, Address: k.Address, Rig: k.Rig, Yard: k.Yard, Standby: k.Standby, Shift: k.shift, Tick: k.tick, Baton: k.baton, Legs: []wire.LegReport{}}
+	r := wire.Report{Host: k.Host, Address: k.Address, Rig: k.Rig, Yard: k.Yard, Standby: k.Spot, Shift: k.shift, Tick: k.tick, Baton: k.baton, Legs: []wire.LegReport{}}
 	for key, l := range k.legs {
 		r.Legs = append(r.Legs, wire.LegReport{Leg: key.name, Try: key.try, Status: l.status, Cause: l.cause, Kept: l.kept})
 	}
@@ -363,7 +363,7 @@
 			switch l.status {
 			case wire.LegFetching:
 				l.status, l.on, l.due = wire.LegRunning, true, time.Time{}
-				k.w.Start(key.name, k.Host, k.Rig, k.Yard, k.Standby)
+				k.w.Start(key.name, k.Host, k.Rig, k.Yard, k.Spot)
 				if now.Before(k.sickTill) || s.Berth != "" && s.Berth == k.w.Mistaken {
 					k.end(key, l, wire.CauseError)
 				} else if s.Shape == wire.Sweep {
