--- a/internal/standin/standby_test.go
+++ b/internal/standin/standby_test.go
@@ -35,6 +35,26 @@
 	})
 }
 
+// The same while nodes of the release before are replaced one after the other, in any order,
+// and some are taken back again.
+func TestRulesHoldWithWarmStandbyAcrossUpgrades(t *testing.T) {
+	playStandby(t, 850, 6, func(d *day, seed uint64) {
+		d.old = [3]bool{true, true, true}
+		order := rand.New(rand.NewPCG(seed, 5)).Perm(3)
+		back := rand.New(rand.NewPCG(seed, 6)).IntN(3)
+		go func() {
+			for _, i := range order {
+				time.Sleep(25 * time.Second)
+				d.upgrade(i, 3*time.Second)
+			}
+			time.Sleep(20 * time.Second)
+			d.crash(back)
+			d.old[back] = true
+			d.start(back)
+		}()
+	})
+}
+
 // takeovers is how changes of leader went.
 type takeovers struct {
 	took   []time.Duration // from the leader's end to the next one's first placement
