--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"reflect"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -205,8 +206,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		silent := func(Leader, peer.RelayArgs) (peer.RelayReply, error) { return peer.RelayReply{Leading: true}, nil }
-		s := testSender(silent)
+		var refuses atomic.Bool
+		s := testSender(func(Leader, peer.RelayArgs) (peer.RelayReply, error) {
+			if refuses.Load() {
+				return peer.RelayReply{}, errors.New("refused")
+			}
+			return peer.RelayReply{Leading: true}, nil
+		})
 		go s.Run(ctx)
 		report := func(to Leader, tick uint64) (took time.Duration, err error) {
 			began := time.Now()
@@ -243,7 +249,7 @@
 			}
 			time.Sleep(2 * s.Patience)
 		}
-		s.Exchange = func(Leader, peer.RelayArgs) (peer.RelayReply, error) { return peer.RelayReply{}, errors.New("refused") }
+		refuses.Store(true)
 		if took, err := report(Leader{"n2", 3}, 20); !errors.Is(err, ErrLeaderNotReached) || took > s.Period {
 			t.Errorf("a leader that refuses: %v after %s", err, took)
 		}
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -27,7 +27,7 @@
 	refuse map[[2]string]bool // answered 503
 	block  map[[2]string]bool // requests from, to are lost
 	still  map[string]chan struct{}
-	Late   float64 // share of lost requests that are carried out later
+	late   float64 // share of lost requests that are carried out later
 
 	slow       time.Duration // what every request and answer takes more, at most
 	lateWrites float64       // share of commits that get no answer
@@ -39,7 +39,7 @@
 // NewNetwork makes a network that is whole.
 func NewNetwork(rng *rand.Rand) *Network {
 	return &Network{rng: rng, hosts: map[string]http.Handler{}, meshes: map[string]*rpc.Server{}, conns: map[string][]net.Conn{},
-		cut: map[[2]string]bool{}, mute: map[[2]string]bool{}, refuse: map[[2]string]bool{}, block: map[[2]string]bool{}, still: map[string]chan struct{}{}, Late: 0.5}
+		cut: map[[2]string]bool{}, mute: map[[2]string]bool{}, refuse: map[[2]string]bool{}, block: map[[2]string]bool{}, still: map[string]chan struct{}{}, late: 0.5}
 }
 
 // Chance draws a number from 0 to n-1.
@@ -49,6 +49,13 @@
 	return n.rng.IntN(limit)
 }
 
+// CarryOutLate sets the share of lost requests that are carried out later.
+func (n *Network) CarryOutLate(share float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.late = share
+}
+
 // Attach lets a party answer under a name; nil takes it off.
 func (n *Network) Attach(name string, h http.Handler, mesh *rpc.Server) {
 	n.mu.Lock()
@@ -224,7 +231,7 @@
 	block, held := p.n.block[link], p.n.lateWrites > 0 && strings.HasSuffix(req.URL.Path, "/commit") && p.n.rng.Float64() < p.n.lateWrites
 	direct := p.n.lateDirect > 0 && req.URL.Path == "/do" && p.n.rng.Float64() < p.n.lateDirect
 	atOnce := p.n.atOnce
-	late := p.n.rng.Float64() < p.n.Late
+	late := p.n.rng.Float64() < p.n.late
 	lateness := time.Duration(p.n.rng.Int64N(int64(40 * time.Second)))
 	delay := time.Duration(500+p.n.rng.IntN(2500)) * time.Microsecond
 	if p.n.slow > 0 {
--- a/internal/standin/relays_test.go
+++ b/internal/standin/relays_test.go
@@ -209,7 +209,7 @@
 				if !ofLeader {
 					zone = (zone + siteZones - 1) % siteZones // the last that its workers would try
 				}
-				s.net.Late = 0 // a held announcement of the next leader would end leases by the protocol
+				s.net.CarryOutLate(0) // a held announcement of the next leader would end leases by the protocol
 				s.cutZone(zone, true)
 				time.Sleep(25 * time.Second)
 				s.cutZone(zone, false)
