--- a/cmd/fleetsim/main.go
+++ b/cmd/fleetsim/main.go
@@ -150,7 +150,7 @@
 		network.Attach(labels[i], standin.NewRemoteNode(c.listen(i)), nil)
 	}
 	world := standin.NewWorld(cfg, network, labels, c.catalog())
-	world.Capacity, world.PollEvery = c.Capacity, c.Poll
+	world.Capacity, world.PollEvery, world.CutOff = c.Capacity, c.Poll, true
 	if c.Capacity == 0 {
 		world.Capacity = 2 * c.Machines
 	}
@@ -176,9 +176,9 @@
 	} else if err := c.runControllers(world); err != nil {
 		return err
 	}
-	// Jobs that are not over when the run ends count as forgotten.
 	counts, cases := world.BrokenByRule()
-	fmt.Printf("%d tasks started; rules broken: %v; the first of each: %q\n", world.Started(), counts, cases)
+	fmt.Printf("%d tasks started, %d jobs not over at the end; rules broken: %v; the first of each: %q\n",
+		world.Started(), world.Unfinished(), counts, cases)
 	return nil
 }
 
