--- a/cmd/fleetsim/main.go
+++ b/cmd/fleetsim/main.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -106,8 +107,13 @@
 // zone is the zone of a controller.
 func (c *cli) zone(i int) string { return c.zones()[i%c.Zones] }
 
-func (c *cli) listen(i int) string { return fmt.Sprintf("127.0.0.1:%d", c.Port+10+i) }
-func (c *cli) mesh(i int) string   { return fmt.Sprintf("127.0.0.1:%d", c.Port+20+i) }
+// firstController is the first port of the controllers, counted from the first of all.
+const firstController = 10
+
+func (c *cli) listen(i int) string { return fmt.Sprintf("127.0.0.1:%d", c.Port+firstController+i) }
+func (c *cli) mesh(i int) string {
+	return fmt.Sprintf("127.0.0.1:%d", c.Port+firstController+c.Controllers+i)
+}
 
 // settingsOf makes the settings file of controller i.
 func (c *cli) settingsOf(i int) string {
@@ -130,8 +136,14 @@
 	if c.Ends > 0 && c.Run == "" {
 		return errors.New("--ends needs --run")
 	}
-	if c.Controllers < 1 || c.Controllers > 10 || c.Zones < 1 || c.Teams < 1 || c.Tasks < 1 {
-		return errors.New("there must be 1 to 10 controllers, and at least one zone, team and task")
+	if c.Controllers < 1 || c.Zones < 1 || c.Teams < 1 || c.Tasks < 1 || c.Machines < 1 {
+		return errors.New("there must be at least one controller, zone, team, task and machine")
+	}
+	if last := c.Port + firstController + 2*c.Controllers; c.Port < 1 || last > 1<<16 {
+		return fmt.Errorf("%d controllers from port %d on need ports up to %d", c.Controllers, c.Port, last-1)
+	}
+	if err := c.checkDescriptors(); err != nil {
+		return err
 	}
 	for i := range c.Controllers {
 		path := filepath.Join(c.Dir, fmt.Sprintf("node-%d.toml", i))
@@ -150,10 +162,7 @@
 		network.Attach(labels[i], standin.NewRemoteNode(c.listen(i)), nil)
 	}
 	world := standin.NewWorld(cfg, network, labels, c.catalog())
-	world.Capacity, world.PollEvery, world.CutOff = c.Capacity, c.Poll, true
-	if c.Capacity == 0 {
-		world.Capacity = 2 * c.Machines
-	}
+	world.Capacity, world.PollEvery, world.CutOff = c.capacity(), c.Poll, true
 	world.ListenWorker = func(h http.Handler) string {
 		address, err := standin.Listen("127.0.0.1:0", h)
 		if err != nil {
@@ -182,6 +191,28 @@
 	return nil
 }
 
+// capacity is how many machines the cloud has.
+func (c *cli) capacity() int {
+	if c.Capacity == 0 {
+		return 2 * c.Machines
+	}
+	return c.Capacity
+}
+
+// checkDescriptors refuses a fleet that this process may not have enough descriptors for: each
+// worker listens, and has connections to the controllers that it reports to.
+func (c *cli) checkDescriptors() error {
+	const ofWorker, others = 4, 1000
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return fmt.Errorf("limit of descriptors: %w", err)
+	}
+	if need := uint64(ofWorker*c.capacity() + others); limit.Cur < need {
+		return fmt.Errorf("%d machines need up to %d descriptors, and this process may have %d: raise it, or lower --capacity", c.Machines, need, limit.Cur)
+	}
+	return nil
+}
+
 // runControllers runs the controllers as processes under load, and ends leaders.
 func (c *cli) runControllers(world *standin.World) error {
 	p := newProcesses(c.Run, c.Dir, c.Controllers)
--- a/cmd/lotusstile/main.go
+++ b/cmd/lotusstile/main.go
@@ -10,10 +10,12 @@
 	"runtime"
 	"runtime/debug"
 	"strings"
+	"syscall"
 
 	"github.com/alecthomas/kong"
 
 	"lotusstile.dev/lotusstile/internal/api"
+	"lotusstile.dev/lotusstile/internal/capacity"
 	"lotusstile.dev/lotusstile/internal/config"
 )
 
@@ -32,7 +34,9 @@
 }
 
 type checkCmd struct {
-	Config string `required:"" type:"path" help:"Settings file (TOML)."`
+	Config        string `required:"" type:"path" help:"Settings file (TOML)."`
+	Machines      int    `help:"Size of fleet that the settings are to carry: warn of what does not."`
+	RelayCheckIns bool   `help:"As for serve." default:"true" negatable:""`
 }
 
 type versionCmd struct{}
@@ -61,6 +65,7 @@
 		return err
 	}
 	cfg.RelayCheckIns, cfg.WarmStandby = s.RelayCheckIns, s.WarmStandby
+	checkDescriptors(cfg.Cluster.Limits.MaxConnections)
 	// The limit counts all that the process holds; half is left for what the
 	// runtime does not count and for bursts. Below that, memory is cheaper than
 	// the processor time of collections.
@@ -69,13 +74,36 @@
 	return api.New(cfg, api.TCP(cfg)).Run(context.Background())
 }
 
+// otherDescriptors is how many descriptors the process has beside its connections.
+const otherDescriptors = 32
+
+// checkDescriptors says at the start if the process may not have as many descriptors as the
+// platform allows it connections. The runtime has raised the limit as far as it may already.
+func checkDescriptors(connections int) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		slog.Debug("the limit of descriptors is not known", "err", err)
+		return
+	}
+	if need := uint64(connections + otherDescriptors); limit.Cur < need {
+		slog.Warn("fewer descriptors than max_connections needs: connections will be refused", "descriptors", limit.Cur, "needed", need)
+	}
+}
+
 // Run checks the settings file.
 func (c *checkCmd) Run() error {
 	cfg, err := config.Load(c.Config)
 	if err != nil {
 		return err
 	}
+	cfg.RelayCheckIns = c.RelayCheckIns
 	fmt.Printf("%s: settings of %s are valid\n", c.Config, cfg.Label)
+	if c.Machines < 0 {
+		return errors.New("--machines must not be negative")
+	}
+	for _, warning := range capacity.Warnings(cfg, c.Machines) {
+		fmt.Printf("warning: %s\n", warning)
+	}
 	return nil
 }
 
--- a/internal/api/admin.go
+++ b/internal/api/admin.go
@@ -41,6 +41,12 @@
 		}
 		return 0
 	})
+	gauge("lotusstile_reserve_connections", func() float64 {
+		if l := n.connections.Load(); l != nil {
+			return float64(l.Reserved())
+		}
+		return 0
+	})
 	gauge("lotusstile_evicted_connections_total", func() float64 {
 		if l := n.connections.Load(); l != nil {
 			return float64(l.Evicted())
--- a/internal/api/counts.go
+++ b/internal/api/counts.go
@@ -16,6 +16,7 @@
 	leader   string
 	term     uint64
 	revision uint64                  // of the leader's counts, up to which all are known
+	more     bool                    // the leader has told that there are more
 	jobs     map[string]wire.JobView // by id
 }
 
@@ -52,19 +53,19 @@
 	for _, view := range r.Counts {
 		t.jobs[view.UID] = view
 	}
-	t.revision = r.CountsRevision
+	t.revision, t.more = r.CountsRevision, r.CountsMore
 	const few = 64
 	if len(t.jobs) > 2*jobs.Len()+few {
 		maps.DeleteFunc(t.jobs, func(uid string, _ wire.JobView) bool { return !jobs.Has(uid) })
 	}
 }
 
-// get tells the counts of a job; ok is false if nothing is known of this leader
+// get tells the counts of a job; ok is false if not all is known of this leader
 // and term.
 func (t *taskCounts) get(leader string, term uint64, uid string) (done, running int, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.leader != leader || t.term != term {
+	if t.leader != leader || t.term != term || t.more {
 		return 0, 0, false
 	}
 	view := t.jobs[uid]
--- a/internal/api/http.go
+++ b/internal/api/http.go
@@ -59,13 +59,12 @@
 
 // serve answers on l until it closes.
 func (n *Node) serve(l net.Listener) error {
-	// The rest of the sockets is for the services, the workers and the peers. A worker
-	// that is well is idle for no longer than one interval.
-	limited := connlimit.New(l, n.cfg.Cluster.Limits.MaxConnections*3/4, 2*n.cfg.ReportEvery())
+	limited := connlimit.New(l, n.limits())
 	n.connections.Store(limited)
 	srv := &http.Server{
 		ConnState:         limited.Track,
-		Handler:           n.Handler(),
+		ConnContext:       limited.Context,
+		Handler:           n.inTurn(n.Handler()),
 		ReadHeaderTimeout: n.cfg.Lease() / 2,
 		ReadTimeout:       n.cfg.Lease() / 2,
 		WriteTimeout:      n.cfg.Lease(),
--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -52,6 +52,7 @@
 	version     *clusterversion.Tracker
 	relays      relays
 	standby     warmStandby
+	reserve     *reserve
 	connections atomic.Pointer[connlimit.Listener] // of users, workers and operators; nil before it listens
 
 	mu       sync.Mutex
@@ -89,7 +90,7 @@
 	n := &Node{
 		cfg:      cfg,
 		store:    store.New(cfg.Services.State, st.Rps, st.WriteRps, timeout, nw.State),
-		cloud:    cloud.New(cfg.Services.Cloud, cfg.Cluster.Cloud.Rps*0.7, timeout, nw.Cloud),
+		cloud:    cloud.New(cfg.Services.Cloud, cfg.Cluster.Cloud.Rps, timeout, nw.Cloud),
 		mirror:   ledger.NewMirror(),
 		peers:    peer.Peers(cfg, cfg.HoldTTL()/4, nw.Mesh),
 		contacts: map[string]contact{},
@@ -98,12 +99,13 @@
 		workers:  &http.Client{Timeout: cfg.ReportEvery(), Transport: nw.Workers},
 	}
 	n.refresher = ledger.NewRefresher(n.mirror, n.store, timeout)
-	n.finals.known = map[string]wire.JobStatus{}
+	n.finals = newFinals(cfg.Cluster.Limits.MemMb)
 	defaults := ledger.DefaultSettings(cfg.Cluster.Workers.ReportS)
 	n.settings.Store(&defaults)
 	n.measure()
 	n.newRelays()
 	n.newStandby()
+	n.reserve = newReserve(cfg.Cluster.Limits.MaxConnections)
 	n.load.limit, n.load.most = cfg.ReportEvery()/2, int64(cfg.Cluster.Limits.MaxConnections/8)
 	n.echo = n.routes()
 	n.elector = election.New(n.store, cfg.Label, cfg.HoldTTL(), n.leadTerm)
@@ -269,7 +271,7 @@
 		if a.CountsTerm != c.Term() {
 			since = 0
 		}
-		r.Counts, r.CountsRevision = c.CountsSince(since)
+		r.Counts, r.CountsRevision, r.CountsMore = c.CountsSince(since)
 	}
 	return r
 }
--- a/internal/api/relay.go
+++ b/internal/api/relay.go
@@ -99,9 +99,9 @@
 }
 
 // answerRelayed decides the answer to one relayed report.
-func (n *Node) answerRelayed(ctx context.Context, r *wire.Report, from string) peer.RelayedAnswer {
+func (n *Node) answerRelayed(ctx context.Context, r *wire.Report, from string, pressure relay.Pressure) peer.RelayedAnswer {
 	a := peer.RelayedAnswer{Host: r.Host, Shift: r.Shift, Tick: r.Tick}
-	d := n.decide(ctx, r, nil, source{relay: from})
+	d := n.decide(ctx, r, nil, source{relay: from, pressure: pressure})
 	a.Status = d.status
 	if d.orders != nil {
 		a.Orders = *d.orders
@@ -115,12 +115,12 @@
 // relayReport relays a worker's report to the leader by the next batch, and returns the
 // leader's answer to it: with neither, the leader cannot answer now. If it is not reached,
 // its place is taken.
-func (n *Node) relayReport(ctx context.Context, leader *peer.Peer, r *wire.Report, body []byte) (*wire.Orders, *wire.Redirect) {
+func (n *Node) relayReport(ctx context.Context, leader *peer.Peer, r *wire.Report, body []byte, pressure relay.Pressure) (*wire.Orders, *wire.Redirect) {
 	last, ok := leader.Last(n.cfg.HoldTTL())
 	if !ok {
 		return n.keepLease(r)
 	}
-	a, err := n.relays.sender.Report(ctx, relay.Leader{Label: leader.Label, Term: last.Term}, r, body)
+	a, err := n.relays.sender.Report(ctx, relay.Leader{Label: leader.Label, Term: last.Term}, r, body, pressure)
 	switch {
 	case errors.Is(err, relay.ErrSuperseded):
 		return nil, nil // nobody waits for an answer to this one any more
@@ -141,12 +141,12 @@
 }
 
 // route returns where a worker that reports at a controller has to go instead, or "".
-func (n *Node) route(r *wire.Report, at string) string {
+func (n *Node) route(r *wire.Report, at string, pressure relay.Pressure) string {
 	router := n.relays.router.Load()
 	if router == nil {
 		return ""
 	}
-	return router.Route(r, at, time.Now())
+	return router.Route(r, at, pressure, time.Now())
 }
 
 // notePeer takes what a ping has told of a peer's part in relaying.
--- a/internal/api/reports.go
+++ b/internal/api/reports.go
@@ -17,6 +17,7 @@
 	"lotusstile.dev/lotusstile/internal/controller"
 	"lotusstile.dev/lotusstile/internal/ledger"
 	"lotusstile.dev/lotusstile/internal/peer"
+	"lotusstile.dev/lotusstile/internal/relay"
 	"lotusstile.dev/lotusstile/internal/store"
 	"lotusstile.dev/lotusstile/wire"
 )
@@ -28,7 +29,16 @@
 	if err != nil {
 		return err
 	}
-	status, answer := n.answerReport(c.Request().Context(), body, source{direct: true})
+	ctx := c.Request().Context()
+	from := source{direct: true, pressure: n.pressure(ctx)}
+	if from.pressure == relay.Full {
+		if !enter(&n.reserve.workers, n.reserve.mostWorkers) {
+			n.count("checkin", errNoRoom.status)
+			return c.JSONBlob(errNoRoom.status, errNoRoom.body())
+		}
+		defer n.reserve.workers.Add(-1)
+	}
+	status, answer := n.answerReport(ctx, body, from)
 	if status == http.StatusServiceUnavailable {
 		c.Response().Header().Set(echo.HeaderRetryAfter, strconv.Itoa(1))
 	}
@@ -49,6 +59,8 @@
 type source struct {
 	direct bool   // from the worker itself
 	relay  string // label of the follower that relays it in a batch; "": it is passed on singly
+	// pressure is how short of connections the node is that the worker reports to.
+	pressure relay.Pressure
 }
 
 // decision is how a report is answered: one of the three beside status.
@@ -162,7 +174,7 @@
 	}
 	if p := n.leader(); p != nil {
 		if n.relaying(p) {
-			return n.relayReport(ctx, p, r, body)
+			return n.relayReport(ctx, p, r, body, from.pressure)
 		}
 		if !n.relaysSingly(r.Host) {
 			return nil, &wire.Redirect{Dispatcher: p.Label}
@@ -186,11 +198,11 @@
 		if from.direct {
 			at = n.cfg.Label
 		}
-		if to := n.route(r, at); to != "" {
+		if to := n.route(r, at, from.pressure); to != "" {
 			return nil, &wire.Redirect{Dispatcher: to}
 		}
 	}
-	opts := controller.CheckInOptions{Relayed: single, Via: from.relay, MayWait: !single && !n.load.behind.Load()}
+	opts := controller.CheckInOptions{Relayed: single, Via: from.relay, MayWait: !single && from.pressure == relay.Relaxed && !n.load.behind.Load()}
 	if o, ok := c.CheckIn(ctx, r, opts); ok {
 		return &o, nil
 	}
--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -4,7 +4,8 @@
 	"context"
 	"errors"
 	"log/slog"
-	"sync"
+
+	lru "github.com/hashicorp/golang-lru/v2"
 
 	"lotusstile.dev/lotusstile/internal/ledger"
 	"lotusstile.dev/lotusstile/internal/peer"
@@ -136,30 +137,28 @@
 	}
 }
 
-// finals remembers final statuses for ever, or rather for as long as they fit:
-// they can be read again.
+// finals remembers final statuses for as long as they fit: they can be read again. Those that
+// nobody has asked about for longest go first.
 type finals struct {
-	mu    sync.Mutex
-	known map[string]wire.JobStatus
+	known *lru.Cache[string, wire.JobStatus]
 }
 
-const maxFinals = 20_000
-
-func (f *finals) get(uid string) (wire.JobStatus, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s, ok := f.known[uid]
-	return s, ok
-}
+const (
+	finalsShare = 1 / 16. // of a node's memory
+	finalBytes  = 256     // that one takes
+	leastFinals = 1000
+)
 
-func (f *finals) put(uid string, s wire.JobStatus) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if len(f.known) >= maxFinals {
-		for k := range f.known {
-			delete(f.known, k)
-			break
-		}
+// newFinals makes a cache for a node with so much memory.
+func newFinals(memMb float64) finals {
+	room := int(finalsShare * memMb * (1 << 20) / finalBytes)
+	known, err := lru.New[string, wire.JobStatus](max(leastFinals, room))
+	if err != nil {
+		panic(err) // only a size below 1 is refused
 	}
-	f.known[uid] = s
+	return finals{known}
 }
+
+func (f *finals) get(uid string) (wire.JobStatus, bool) { return f.known.Get(uid) }
+
+func (f *finals) put(uid string, s wire.JobStatus) { f.known.Add(uid, s) }
--- a/internal/api/users.go
+++ b/internal/api/users.go
@@ -9,6 +9,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"lotusstile.dev/lotusstile/internal/connlimit"
 	"lotusstile.dev/lotusstile/internal/peer"
 	"lotusstile.dev/lotusstile/internal/store"
 	"lotusstile.dev/lotusstile/wire"
@@ -23,6 +24,12 @@
 			return retryLater(c, "too much to do")
 		}
 		defer n.load.done()
+		if connlimit.OnReserve(c.Request().Context()) {
+			if !enter(&n.reserve.users, n.reserve.mostUsers) {
+				return retryLater(c, "no connection is free")
+			}
+			defer n.reserve.users.Add(-1)
+		}
 		body, err := readBody(c)
 		if err != nil {
 			return err
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -17,8 +18,14 @@
 	"lotusstile.dev/lotusstile/wire"
 )
 
-// ErrNoCapacity means that none of the machines asked for can be had now.
-var ErrNoCapacity = errors.New("no capacity")
+// Errors that callers tell apart.
+var (
+	// ErrNoCapacity means that none of the machines asked for can be had now.
+	ErrNoCapacity = errors.New("no capacity")
+	// ErrPage means that a page of the machine list does not follow on the one before: a list
+	// that is put together with it could lack machines.
+	ErrPage = errors.New("page of the machine list is not in order")
+)
 
 // Client is a client of the cloud. It is safe for concurrent use.
 type Client struct {
@@ -26,14 +33,29 @@
 	http    *http.Client
 	timeout time.Duration
 	calls   *rate.Limiter
+	lists   *rate.Limiter // for pages of the machine list: they leave calls for rentals and returns
 }
 
-// New makes a client that speaks over rt and makes at most rps calls a second.
+const (
+	// pageSize is how many machines a page of the list has at most.
+	pageSize = 500
+	// callShare is the share of the cloud's limit of calls that one node uses.
+	callShare = 0.7
+	// listShare is the share of the calls that pages of the list may take: at 6,000 machines a
+	// list has twelve, and without a bound they took every call that there is.
+	listShare = 0.5
+	// pageTries is how often a page is asked for.
+	pageTries = 3
+)
+
+// New makes a client that speaks over rt, to a cloud that allows rps calls a second.
 func New(addr string, rps float64, timeout time.Duration, rt http.RoundTripper) *Client {
+	rps *= callShare
 	return &Client{
 		base: "http://" + addr, timeout: timeout,
 		http:  &http.Client{Transport: rt},
 		calls: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
+		lists: rate.NewLimiter(rate.Limit(rps*listShare), max(1, int(rps*listShare))),
 	}
 }
 
@@ -116,23 +138,76 @@
 	return nil
 }
 
-// List reads the whole machine list.
+// List reads the whole machine list, page by page. A page that fails is asked for again
+// before the list is given up.
 func (c *Client) List(ctx context.Context) ([]wire.ListedHost, error) {
 	var all []wire.ListedHost
 	after := ""
 	for {
-		q := url.Values{"Most": {"500"}}
-		if after != "" {
-			q.Set("After", after)
+		page, err := c.page(ctx, after)
+		for try := 1; err != nil && try < pageTries && ctx.Err() == nil; try++ {
+			page, err = c.page(ctx, after)
 		}
-		var page wire.HostList
-		if err := c.must(ctx, http.MethodGet, "/machines?"+q.Encode(), nil, &page); err != nil {
-			return nil, fmt.Errorf("list machines: %w", err)
+		if err != nil {
+			return nil, fmt.Errorf("list machines after %q: %w", after, err)
 		}
 		all = append(all, page.Hosts...)
-		if !page.More || len(page.Hosts) == 0 {
+		if !page.More {
 			return all, nil
 		}
 		after = page.Hosts[len(page.Hosts)-1].UID
 	}
 }
+
+// ListTakes is the least time that a list of so many machines takes within the calls that
+// lists may use.
+func (c *Client) ListTakes(machines int) time.Duration {
+	pages := machines/pageSize + 1
+	return time.Duration(float64(pages) / float64(c.lists.Limit()) * float64(time.Second))
+}
+
+// MostListed is of how many machines a list can be read in a time, within the calls that lists
+// may use of a limit of rps.
+func MostListed(rps float64, within time.Duration) int {
+	return int(rps*callShare*listShare*within.Seconds()) * pageSize
+}
+
+// page reads one page of the machine list.
+func (c *Client) page(ctx context.Context, after string) (wire.HostList, error) {
+	if err := c.lists.Wait(ctx); err != nil {
+		return wire.HostList{}, fmt.Errorf("over the budget of lists: %w", err)
+	}
+	query := url.Values{"Most": {strconv.Itoa(pageSize)}}
+	if after != "" {
+		query.Set("After", after)
+	}
+	var page wire.HostList
+	if err := c.must(ctx, http.MethodGet, "/machines?"+query.Encode(), nil, &page); err != nil {
+		return page, err
+	}
+	return page, checkPage(&page, after)
+}
+
+// checkPage refuses a page that repeats or leaves out machines, as far as it tells.
+func checkPage(page *wire.HostList, after string) error {
+	if len(page.Hosts) > pageSize {
+		return fmt.Errorf("%w: %d machines", ErrPage, len(page.Hosts))
+	}
+	if page.More && len(page.Hosts) == 0 {
+		return fmt.Errorf("%w: it is empty, and there are more", ErrPage)
+	}
+	for i := range page.Hosts {
+		id := page.Hosts[i].UID
+		if !created(after, id) {
+			return fmt.Errorf("%w: %q follows on %q", ErrPage, id, after)
+		}
+		after = id
+	}
+	return nil
+}
+
+// created reports whether a machine was created after another one, by their names: a longer
+// name is newer, since numbers grow.
+func created(earlier, later string) bool {
+	return earlier < later || len(earlier) < len(later)
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"slices"
@@ -156,9 +157,11 @@
 	fault(len(cl.Teams) == 0, "cluster.teams is empty")
 	for i, t := range cl.Teams {
 		fault(t.Name == "", "cluster.teams[%d].name is missing", i)
-		fault(t.Cpus < 0 || t.CpusMax < 0 || t.Gpus < 0 || t.GpusMax < 0, "cluster.teams[%d] has a negative amount", i)
+		for _, amount := range [...]float64{t.Cpus, t.CpusMax, t.Gpus, t.GpusMax} {
+			fault(!(amount >= 0), "cluster.teams[%d] has a negative amount", i)
+		}
 	}
-	positive := func(name string, v float64) { fault(v <= 0, "%s must be above 0", name) }
+	positive := func(name string, v float64) { fault(!(v > 0) || math.IsInf(v, 0), "%s must be a number above 0", name) }
 	positive("cluster.workers.report_s", cl.Workers.ReportS)
 	positive("cluster.workers.lease_s", cl.Workers.LeaseS)
 	positive("cluster.workers.cancel_s", cl.Workers.CancelS)
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -1,9 +1,14 @@
-// Package connlimit bounds the connections of an HTTP server. When all are taken, the one
-// that has been idle for longest is closed for a new one: connections that nobody uses
-// any more would otherwise keep users, workers and operators out until they time out.
+// Package connlimit bounds the connections of an HTTP server. When all places are taken, the
+// connection that has been idle for longest is closed for a new one: connections that nobody
+// uses any more would otherwise keep users, workers and operators out until they time out.
+//
+// Without an idle connection, a new one gets a place of a small reserve, for one request. The
+// server can tell what is asked for and by whom, and answer at once; an operator gets in
+// however many connections users and workers keep.
 package connlimit
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -11,35 +16,51 @@
 	"time"
 )
 
+// Limits bounds a listener's connections.
+type Limits struct {
+	Places  int           // connections that are kept from request to request
+	Reserve int           // connections for one request beyond these
+	MinIdle time.Duration // a connection that is idle for this long gives way to a new one
+	// Patience is how long a connection of the reserve may take to send its request.
+	Patience time.Duration
+}
+
+// crowdedShare is the share of the places from which on a listener is crowded.
+const crowdedShare = 0.875
+
 // Listener accepts so many connections at a time at most. Its Track has to be the server's
-// ConnState hook.
+// ConnState hook, and its Context the server's ConnContext hook.
 type Listener struct {
 	net.Listener
-	most    int
-	minIdle time.Duration
-	freed   chan struct{} // a place has come free
-
-	mu     sync.Mutex
-	open   map[*conn]struct{}
-	closed atomic.Bool
-	evicts atomic.Uint64
+	limits Limits
+	freed  chan struct{} // a place has come free
+
+	mu       sync.Mutex
+	open     map[*conn]struct{} // that have a place
+	reserved int                // that have one of the reserve
+	closed   atomic.Bool
+	evicts   atomic.Uint64
+	taken    atomic.Int64 // len(open)
 }
 
-// conn is a connection that counts against the limit of its listener.
+// conn is a connection that counts against the limits of its listener.
 type conn struct {
 	net.Conn
 	listener  *Listener
+	reserve   bool         // it has a place of the reserve
+	deadline  time.Time    // until when a connection of the reserve has to send its request
 	idleSince atomic.Int64 // in nanoseconds of the wall clock; 0 while a request is answered
+	closed    bool         // its place is given free; the listener's mu is held
 }
 
-// New bounds the connections of a listener. One that has been idle for minIdle is closed
-// if there is no place for a new one.
-func New(l net.Listener, most int, minIdle time.Duration) *Listener {
-	return &Listener{Listener: l, most: max(1, most), minIdle: minIdle, freed: make(chan struct{}, 1), open: map[*conn]struct{}{}}
+// New bounds the connections of a listener.
+func New(l net.Listener, limits Limits) *Listener {
+	limits.Places = max(1, limits.Places)
+	return &Listener{Listener: l, limits: limits, freed: make(chan struct{}, 1), open: map[*conn]struct{}{}}
 }
 
 // Accept waits for a place, or for a connection that may be closed for one, and then for a
-// connection. Without either nothing is accepted, so that a load balancer can see that and
+// connection. Without any nothing is accepted, so that a load balancer can see that and
 // try another node.
 func (l *Listener) Accept() (net.Conn, error) {
 	for !l.hasPlace() && !l.closed.Load() {
@@ -49,8 +70,9 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: accepted, listener: l}
-	c.idleSince.Store(time.Now().UnixNano())
+	now := time.Now()
+	c := &conn{Conn: accepted, listener: l, deadline: now.Add(l.limits.Patience)}
+	c.idleSince.Store(now.UnixNano())
 	for !l.take(c) {
 		if l.closed.Load() {
 			accepted.Close()
@@ -58,6 +80,9 @@
 		}
 		l.awaitPlace()
 	}
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		c.Close() // it is gone already: the server finds it closed
+	}
 	return c, nil
 }
 
@@ -65,18 +90,24 @@
 func (l *Listener) hasPlace() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.open) < l.most || l.longestIdle(time.Now()) != nil
+	return len(l.open) < l.limits.Places || l.reserved < l.limits.Reserve || l.longestIdle(time.Now()) != nil
 }
 
-// take gives a connection a place, if need be that of an idle one.
+// take gives a connection a place: if need be that of an idle one, else one of the reserve.
 func (l *Listener) take(c *conn) bool {
 	l.mu.Lock()
-	if len(l.open) < l.most {
-		l.open[c] = struct{}{}
+	if len(l.open) < l.limits.Places {
+		l.place(c)
 		l.mu.Unlock()
 		return true
 	}
 	idle := l.longestIdle(time.Now())
+	if idle == nil && l.reserved < l.limits.Reserve {
+		l.reserved++
+		c.reserve = true
+		l.mu.Unlock()
+		return true
+	}
 	l.mu.Unlock()
 	if idle != nil {
 		l.evicts.Add(1)
@@ -85,11 +116,17 @@
 	return false
 }
 
+// place gives a connection a place. l.mu is held.
+func (l *Listener) place(c *conn) {
+	l.open[c] = struct{}{}
+	l.taken.Store(int64(len(l.open)))
+}
+
 // longestIdle is the connection that has been idle for longest, if that is long enough.
 // l.mu is held.
 func (l *Listener) longestIdle(now time.Time) *conn {
 	var longest *conn
-	since := now.Add(-l.minIdle).UnixNano()
+	since := now.Add(-l.limits.MinIdle).UnixNano()
 	for c := range l.open {
 		if at := c.idleSince.Load(); at != 0 && at <= since {
 			longest, since = c, at
@@ -102,7 +139,7 @@
 // enough.
 func (l *Listener) awaitPlace() {
 	const looks = 8 // in the time that a connection has to be idle
-	timer := time.NewTimer(l.minIdle / looks)
+	timer := time.NewTimer(l.limits.MinIdle / looks)
 	defer timer.Stop()
 	select {
 	case <-l.freed:
@@ -124,11 +161,35 @@
 	}
 }
 
-// Open is the number of connections.
-func (l *Listener) Open() int {
+// connKey is the context key of the connection of a request.
+type connKey struct{}
+
+// Context lets OnReserve tell how a request's connection was accepted.
+func (l *Listener) Context(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// OnReserve reports whether a request has come on a connection of the reserve. It has to be
+// answered at once, and its connection closed.
+func OnReserve(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	return ok && c.reserve
+}
+
+// Crowded reports whether nearly all places are taken: a connection whose request is answered
+// should then be closed, so that its place serves others in turn.
+func (l *Listener) Crowded() bool {
+	return float64(l.taken.Load()) >= crowdedShare*float64(l.limits.Places)
+}
+
+// Open is the number of connections that have a place.
+func (l *Listener) Open() int { return int(l.taken.Load()) }
+
+// Reserved is the number of connections of the reserve.
+func (l *Listener) Reserved() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.open)
+	return l.reserved
 }
 
 // Evicted counts the idle connections that were closed for new ones.
@@ -141,17 +202,36 @@
 	return l.Listener.Close()
 }
 
+// SetReadDeadline bounds what a connection may take to send what is expected. One of the
+// reserve that sends no request does not keep its place for as long as others would.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	if c.reserve && c.idleSince.Load() != 0 && (t.IsZero() || t.After(c.deadline)) {
+		t = c.deadline
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // Close ends the connection and gives its place free.
 func (c *conn) Close() error {
-	l := c.listener
+	c.listener.leave(c)
+	return c.Conn.Close()
+}
+
+// leave gives a connection's place free, once.
+func (l *Listener) leave(c *conn) {
 	l.mu.Lock()
-	_, open := l.open[c]
-	delete(l.open, c)
-	l.mu.Unlock()
-	if open {
-		l.free()
+	defer l.mu.Unlock()
+	if c.closed {
+		return
 	}
-	return c.Conn.Close()
+	c.closed = true
+	if c.reserve {
+		l.reserved--
+	} else {
+		delete(l.open, c)
+		l.taken.Store(int64(len(l.open)))
+	}
+	l.free()
 }
 
 func (l *Listener) free() {
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -16,19 +16,22 @@
 )
 
 // server answers GET /slow once it is released, and all else at once.
-func server(t *testing.T) (l *Listener, release chan struct{}) {
+func server(t *testing.T, reserve int) (l *Listener, release chan struct{}) {
 	t.Helper()
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, release = New(inner, most, minIdle), make(chan struct{})
+	l, release = New(inner, Limits{Places: most, MinIdle: minIdle, Reserve: reserve, Patience: minIdle}), make(chan struct{})
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/slow" {
+		if OnReserve(r.Context()) {
+			w.Header().Set("Connection", "close")
+			w.Header().Set("Reserve", "yes")
+		} else if r.URL.Path == "/slow" {
 			<-release
 		}
 	})
-	srv := &http.Server{Handler: handler, ConnState: l.Track}
+	srv := &http.Server{Handler: handler, ConnState: l.Track, ConnContext: l.Context}
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(l) }()
 	t.Cleanup(func() {
@@ -70,7 +73,7 @@
 // same, and the one that was idle for longest is gone. While they kept their places until
 // they timed out, an operator got no answer from a leader for minutes.
 func TestIdleConnectionsGiveWay(t *testing.T) {
-	l, _ := server(t)
+	l, _ := server(t, 0)
 	var conns []net.Conn
 	for range most {
 		c := dial(t, l)
@@ -100,7 +103,7 @@
 // Connections whose requests are being answered keep their places; a new one gets the
 // first that comes free.
 func TestBusyConnectionsStay(t *testing.T) {
-	l, release := server(t)
+	l, release := server(t, 0)
 	busy := make(chan error, most)
 	for range most {
 		c := dial(t, l)
@@ -123,3 +126,41 @@
 		t.Errorf("with idle connections again: %v", err)
 	}
 }
+
+// While every place is busy, a connection of the reserve is answered one request and closed;
+// those that send nothing do not keep its places. Before there was a reserve, an operator
+// waited for as long as users and workers kept all connections busy.
+func TestReserveAnswersWhileAllPlacesAreBusy(t *testing.T) {
+	l, release := server(t, 2)
+	defer close(release)
+	for range most {
+		c := dial(t, l)
+		go func() { _ = ask(t, c, "/slow", 10*time.Second) }()
+	}
+	for l.Open() < most {
+		time.Sleep(time.Millisecond)
+	}
+	for range 3 {
+		silent := []net.Conn{dial(t, l), dial(t, l)} // they take the reserve and send nothing
+		for range 10 {
+			c := dial(t, l)
+			if err := ask(t, c, "/", 20*minIdle); err != nil {
+				t.Fatalf("a connection of the reserve is not answered: %v", err)
+			}
+			if err := ask(t, c, "/", time.Second); err == nil {
+				t.Fatal("a connection of the reserve is kept")
+			}
+		}
+		for _, c := range silent {
+			c.Close()
+		}
+	}
+	if !l.Crowded() || l.Open() != most {
+		t.Errorf("crowded: %v, %d are open", l.Crowded(), l.Open())
+	}
+	for limit := time.Now().Add(time.Second); l.Reserved() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("%d places of the reserve do not come free", l.Reserved())
+		}
+	}
+}
--- a/internal/controller/announce.go
+++ b/internal/controller/announce.go
@@ -10,18 +10,29 @@
 	"lotusstile.dev/lotusstile/internal/fleet"
 )
 
-// announceSlots is how many announcements are under way at a time. Each to a
-// machine that is gone or cut off holds one until it times out.
-const announceSlots = 16
+// How many announcements are under way at a time: each to a machine that is gone or cut off
+// holds a connection until it times out, and those that would answer wait behind them.
+const (
+	leastAnnouncements  = 16
+	announcementsOfAll  = 0.125   // of the machines that are to be told
+	announcementsSocket = 1 / 32. // of the connections, at most
+)
+
+// announcements is how many announcements to so many machines are under way at a time.
+func (c *Controller) announcements(machines int) int {
+	most := int(announcementsSocket * float64(c.Config.Cluster.Limits.MaxConnections))
+	return max(leastAnnouncements, min(most, int(announcementsOfAll*float64(machines))))
+}
 
 // announcing tells the token to workers that do not report: they may sit at a
 // deposed leader that still answers them.
 func (c *Controller) announcing(ctx context.Context) {
 	every := c.Config.ReportEvery()
-	slots := make(chan struct{}, announceSlots)
 	for sleep(ctx, c.untilNext(every/2)) {
 		var wg sync.WaitGroup
-		for _, t := range c.toAnnounce() {
+		targets := c.toAnnounce()
+		slots := make(chan struct{}, c.announcements(len(targets)))
+		for _, t := range targets {
 			slots <- struct{}{}
 			wg.Add(1)
 			go func() {
@@ -66,7 +77,7 @@
 	rand.Shuffle(len(ts), func(i, k int) { ts[i], ts[k] = ts[k], ts[i] })
 	// A quarter of them at a time: those that answer take milliseconds, and a whole
 	// fleet may sit at a deposed leader.
-	ts = ts[:min(len(ts), max(2*announceSlots, len(ts)/4))]
+	ts = ts[:min(len(ts), max(2*leastAnnouncements, len(ts)/4))]
 	for _, t := range ts {
 		c.announced[t.host] = now
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -38,6 +38,8 @@
 	Rent(ctx context.Context, r wire.RentRequest) ([]string, error)
 	Return(ctx context.Context, hosts []string) error
 	List(ctx context.Context) ([]wire.ListedHost, error)
+	// ListTakes is the least time that a list of so many machines takes.
+	ListTakes(machines int) time.Duration
 }
 
 // Worker is what it needs of workers.
--- a/internal/controller/images.go
+++ b/internal/controller/images.go
@@ -25,28 +25,47 @@
 // where starts are quick. It loses nothing but time if it is late or fails.
 func (c *Controller) noteImages(ctx context.Context) {
 	for sleep(ctx, c.untilNext(c.Config.ReportEvery())) {
-		c.mu.Lock()
-		now := c.now()
-		tx := wire.Commit{Guards: []wire.Guard{{Key: ledger.LeaderKey, Stamp: c.term}}}
-		noted := map[string]imageNote{}
-		most := max(1, int(c.Config.StateLimits().WriteRps/8))
-		c.fleet.Each(func(m *fleet.Machine) {
-			if m.State == fleet.Ready && len(m.Images) > c.noted[m.ID].images && now.Sub(c.noted[m.ID].at) > c.Config.Lease() && len(tx.Apply) < most {
-				noted[m.ID] = imageNote{len(m.Images), now}
-				names := slices.Sorted(maps.Keys(m.Images))
-				tx.Apply = append(tx.Apply, wire.Change{Set: ledger.ImagesKey(m.ID), Value: ledger.Encode(ledger.Images{Names: ledger.FitNames(names[:min(len(names), maxNotedImages)], c.Config.ValueBytes())})})
-			}
-		})
-		c.mu.Unlock()
-		if len(tx.Apply) == 0 {
-			continue
-		}
-		if _, err := c.Store.Commit(store.Note(ctx), tx); err != nil {
-			c.checkDeposed(err)
-			continue
-		}
-		c.mu.Lock()
-		maps.Copy(c.noted, noted)
-		c.mu.Unlock()
+		c.noteSomeImages(ctx)
+	}
+}
+
+// noteSomeImages records the images of as many machines as one commit holds.
+func (c *Controller) noteSomeImages(ctx context.Context) {
+	tx, noted := c.imagesToNote()
+	if len(tx.Apply) == 0 {
+		return
 	}
+	if _, err := c.Store.Commit(store.Note(ctx), tx); err != nil {
+		c.checkDeposed(err)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	maps.Copy(c.noted, noted)
+}
+
+// imagesToNote makes the next commit of machines' images.
+func (c *Controller) imagesToNote() (tx wire.Commit, noted map[string]imageNote) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	tx.Guards = []wire.Guard{{Key: ledger.LeaderKey, Stamp: c.term}}
+	noted = map[string]imageNote{}
+	// A commit that is larger than the state service takes would be rejected, and nothing
+	// ever be noted.
+	most := min(max(1, int(c.Config.StateLimits().WriteRps/8)), c.batchOps())
+	size := 0
+	c.fleet.Each(func(m *fleet.Machine) {
+		known := c.noted[m.ID]
+		if m.State != fleet.Ready || len(m.Images) <= known.images || now.Sub(known.at) <= c.Config.Lease() || len(tx.Apply) >= most || size > maxTx {
+			return
+		}
+		noted[m.ID] = imageNote{len(m.Images), now}
+		names := slices.Sorted(maps.Keys(m.Images))
+		names = ledger.FitNames(names[:min(len(names), maxNotedImages)], c.Config.ValueBytes())
+		value := ledger.Encode(ledger.Images{Names: names})
+		size += len(value)
+		tx.Apply = append(tx.Apply, wire.Change{Set: ledger.ImagesKey(m.ID), Value: value})
+	})
+	return tx, noted
 }
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -76,9 +76,10 @@
 	c.refused[g] = refusal{now.Add(pause), pause}
 }
 
-// lists reads the machine list and the prices from time to time.
+// lists reads the machine list and the prices from time to time: the list no more often than
+// its pages can be read without a pause.
 func (c *Controller) lists(ctx context.Context) {
-	every := max(c.Config.ListLag()*2/3, time.Duration(float64(8*time.Second)/c.Config.Cluster.Cloud.Rps))
+	least := max(c.Config.ListLag()*2/3, time.Duration(float64(8*time.Second)/c.Config.Cluster.Cloud.Rps))
 	var priced time.Time
 	for ctx.Err() == nil {
 		if now := c.now(); priced.IsZero() || now.Sub(priced) > 3*c.Config.Lease() {
@@ -100,7 +101,7 @@
 		} else {
 			c.listed(hosts, asked)
 		}
-		if !sleep(ctx, c.untilNext(every)) {
+		if !sleep(ctx, c.untilNext(max(least, c.Cloud.ListTakes(len(hosts))))) {
 			return
 		}
 	}
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -1,25 +1,43 @@
 package controller
 
 import (
+	"cmp"
+	"slices"
+
 	"lotusstile.dev/lotusstile/internal/fleet"
 	"lotusstile.dev/lotusstile/wire"
 )
 
+// countsAtOnce is how many jobs' counts are told at once: the answer to a ping must not take
+// longer the more jobs there are.
+const countsAtOnce = 2000
+
 // CountsSince tells which jobs' counts of tasks have changed since a revision, and
-// the revision that they lead to: 0 until all is loaded.
-func (c *Controller) CountsSince(revision uint64) ([]wire.JobView, uint64) {
+// the revision that they lead to: 0 until all is loaded. Of many, those that changed first are
+// told, the revision leads to these, and there are more.
+func (c *Controller) CountsSince(revision uint64) (views []wire.JobView, upTo uint64, more bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.loaded {
-		return nil, 0
+		return nil, 0, false
 	}
-	var views []wire.JobView
+	var changed []*job
 	for _, j := range c.jobs {
 		if j.countsRevision > revision {
-			views = append(views, wire.JobView{UID: j.uid, Done: j.done, Running: j.running()})
+			changed = append(changed, j)
 		}
 	}
-	return views, c.countsRevision
+	upTo = c.countsRevision
+	if more = len(changed) > countsAtOnce; more {
+		slices.SortFunc(changed, func(a, b *job) int { return cmp.Compare(a.countsRevision, b.countsRevision) })
+		changed = changed[:countsAtOnce]
+		upTo = changed[countsAtOnce-1].countsRevision
+	}
+	views = make([]wire.JobView, 0, len(changed))
+	for _, j := range changed {
+		views = append(views, wire.JobView{UID: j.uid, Done: j.done, Running: j.running()})
+	}
+	return views, upTo, more
 }
 
 // countsChanged notes that a job's counts of tasks may have changed.
--- a/internal/ledger/mirror.go
+++ b/internal/ledger/mirror.go
@@ -65,6 +65,12 @@
 	}
 }
 
+// ListedWithin is how many keys one node can list in a time, of a state service that allows rps
+// requests a second.
+func ListedWithin(rps float64, within time.Duration) int {
+	return int(rps*store.RequestShare*within.Seconds()) * store.PageSize
+}
+
 // Funcs makes a Follower of functions that get one key's news each: Listed those
 // of a listing, Changed those of a later change. Either may be nil.
 type Funcs struct{ Listed, Changed func(n wire.News) }
--- /dev/null
+++ b/internal/ledger/size_test.go
@@ -0,0 +1,33 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+)
+
+// The names of 4,096 and of 6,000 machines are listed in records of any size without losing one.
+func TestNamesOfALargeFleetFitRecords(t *testing.T) {
+	for _, machines := range []int{4096, 6000} {
+		for _, valueBytes := range []int{1 << 10, 8 << 10} {
+			var names []string
+			for i := range machines {
+				names = append(names, fmt.Sprintf("m-%06d", i))
+			}
+			listed := 0
+			for len(names) > 0 {
+				part := FitNames(names, valueBytes)
+				if size := len(Encode(Returns{Hosts: part})); size > valueBytes {
+					t.Fatalf("a record has %d bytes of %d", size, valueBytes)
+				}
+				if want := fmt.Sprintf("m-%06d", listed); part[0] != want {
+					t.Fatalf("%s follows, not %s", part[0], want)
+				}
+				listed += len(part)
+				names = names[len(part):]
+			}
+			if listed != machines {
+				t.Errorf("%d of %d machines are listed", listed, machines)
+			}
+		}
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -40,6 +40,7 @@
 	// since the caller's revision, and the revision that they lead to.
 	Counts         []wire.JobView
 	CountsRevision uint64
+	CountsMore     bool // more have changed than are told at once: the next ping brings them
 	Version        int  // cluster version that the callee understands; 0: an older release
 	Relays         bool // can relay reports of workers in batches
 	Relaying       bool // leads, and wants its followers to keep workers and to relay their reports
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -19,6 +19,7 @@
 	Shift, Tick uint64
 	Repeats     uint64 // Tick of the report that this one repeats; 0: it is sent in full
 	Size        int    // bytes of the body if it is sent in full
+	Pressure    uint8  // how short of connections the follower is: a relay.Pressure
 }
 
 // RelayReply returns the answers that the leader has ready for the follower's workers,
--- a/internal/relay/batch.go
+++ b/internal/relay/batch.go
@@ -24,13 +24,13 @@
 func (b *batch) full() bool { return len(b.bodies) >= maxBatchBytes-wire.MaxBody }
 
 // repeat adds a report that differs from an earlier one in nothing but its tick.
-func (b *batch) repeat(r, earlier *wire.Report) {
-	b.reports = append(b.reports, peer.RelayedReport{Host: r.Host, Shift: r.Shift, Tick: r.Tick, Repeats: earlier.Tick})
+func (b *batch) repeat(r, earlier *wire.Report, pressure Pressure) {
+	b.reports = append(b.reports, peer.RelayedReport{Host: r.Host, Shift: r.Shift, Tick: r.Tick, Repeats: earlier.Tick, Pressure: uint8(pressure)})
 }
 
 // add adds a report in full.
-func (b *batch) add(r *wire.Report, body []byte) {
-	b.reports = append(b.reports, peer.RelayedReport{Host: r.Host, Shift: r.Shift, Tick: r.Tick, Size: len(body)})
+func (b *batch) add(r *wire.Report, body []byte, pressure Pressure) {
+	b.reports = append(b.reports, peer.RelayedReport{Host: r.Host, Shift: r.Shift, Tick: r.Tick, Size: len(body), Pressure: uint8(pressure)})
 	b.bodies = append(b.bodies, body...)
 }
 
--- /dev/null
+++ b/internal/relay/pressure_test.go
@@ -0,0 +1,140 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// A worker that has met one slow answer of its zone's controller, which hears the others all the
+// time, is back there within a few intervals. While it stayed away for three leases, workers lost
+// their tasks when their zone was cut off: 347 on one day. Once it has left again, it cannot
+// reach that controller, and stays away.
+func TestSlowAnswerDoesNotKeepAWorkerAway(t *testing.T) {
+	r := testRouter(Relayed)
+	r.Resize(100)
+	var sent reports
+	now := time.Unix(1000, 0)
+	others := func() {
+		now = now.Add(time.Second)
+		for i := range 10 {
+			r.Route(sent.next(fmt.Sprint("other-", i), "b"), "n1", Relaxed, now)
+		}
+	}
+	away := func() (intervals int) {
+		for range 60 {
+			others()
+			if r.Route(sent.next("m", "b"), "n2", Relaxed, now) == "n1" {
+				return intervals
+			}
+			intervals++
+		}
+		return intervals
+	}
+	others()
+	r.Route(sent.next("m", "b"), "n1", Relaxed, now)
+	if intervals := away(); intervals > 2*moveIntervals {
+		t.Errorf("after a slow answer it is away for %d intervals", intervals)
+	}
+	r.Route(sent.next("m", "b"), "n1", Relaxed, now)
+	if intervals := away(); intervals < stayLeases*9 {
+		t.Errorf("it is sent back after %d intervals to where it has left twice", intervals)
+	}
+}
+
+// A worker whose controller hears nobody any more is not sent back, however many there were.
+func TestLostControllerGetsNobodyBack(t *testing.T) {
+	r := testRouter(Relayed)
+	r.Resize(100)
+	var sent reports
+	now := time.Unix(1000, 0)
+	for i := range 10 {
+		r.Route(sent.next(fmt.Sprint("m-", i), "b"), "n1", Relaxed, now)
+	}
+	for second := range stayLeases*10 - 1 {
+		now = now.Add(time.Second)
+		for i := range 10 {
+			if second < i {
+				continue // still looks for another controller
+			}
+			if to := r.Route(sent.next(fmt.Sprint("m-", i), "b"), "n2", Relaxed, now); to != "" {
+				t.Fatalf("m-%d is sent to %s after %d s", i, to, second)
+			}
+		}
+	}
+}
+
+// A worker that comes on a connection of the reserve is sent to a controller that has room, at
+// once and past the limit of moves, and not back for a lease; with no other that has room, it
+// stays and is served in turn.
+func TestFullControllerSendsWorkersElsewhere(t *testing.T) {
+	r := testRouter(Relayed)
+	r.Resize(60)
+	var sent reports
+	now := time.Unix(1000, 0)
+	for i := range 30 {
+		if to := r.Route(sent.next(fmt.Sprint("m-", i), "b"), "n1", Full, now); to != "n2" {
+			t.Fatalf("worker %d of a full controller is sent to %q", i, to)
+		}
+	}
+	for second := range 8 {
+		now = now.Add(time.Second)
+		if to := r.Route(sent.next("m-0", "b"), "n2", Relaxed, now); to != "" {
+			t.Fatalf("it is sent to %s after %d s", to, second)
+		}
+	}
+	r.Usable("n2", false)
+	r.load["n0"] = testConnections
+	if to := r.Route(sent.next("m-99", "b"), "n1", Full, now); to != "" {
+		t.Errorf("with no room anywhere it is sent to %q", to)
+	}
+}
+
+// Controllers take as many workers as the fleet needs: 4,000 and 6,000 with the connections of
+// the large deployments, on five controllers and on three, all are held as long as the
+// connections allow it. With fixed shares, three of them held 3,235 workers.
+func TestRoomGrowsWithTheFleet(t *testing.T) {
+	for _, tc := range []struct {
+		controllers, connections, workers int
+		all                               bool
+	}{{5, 2589, 4096, true}, {5, 2589, 6000, true}, {3, 2589, 4096, true}, {3, 2372, 4096, true}, {3, 2589, 6000, false}, {3, 700, 4096, false}} {
+		zones := map[string]string{}
+		for i := range tc.controllers {
+			zones[fmt.Sprint("n", i)] = fmt.Sprint("zone-", i)
+		}
+		r := NewRouter(RouterConfig{Self: "n0", Zones: zones, Connections: tc.connections, ReportEvery: time.Second, Lease: 10 * time.Second}, Relayed)
+		for label := range zones {
+			r.Usable(label, true)
+		}
+		r.Resize(tc.workers)
+		at := map[int]string{}
+		for i := range tc.workers {
+			at[i] = "n0"
+		}
+		now, moved := time.Unix(1000, 0), 0
+		for tick := uint64(1); tick <= 20; tick++ {
+			now, moved = now.Add(time.Second), 0
+			for i := range tc.workers {
+				report := &wire.Report{Host: fmt.Sprint("m-", i), Yard: fmt.Sprint("zone-", i%8), Shift: 1, Tick: tick}
+				if to := r.Route(report, at[i], Relaxed, now); to != "" {
+					at[i] = to
+					moved++
+				}
+			}
+		}
+		most, over := int(mostShare*float64(tc.connections)), 0
+		for label, n := range r.Load() {
+			if n > most {
+				over += n - most
+			}
+			if n > tc.workers {
+				t.Errorf("%s has %d workers", label, n)
+			}
+		}
+		if tc.all != (over == 0) || moved > 0 {
+			t.Errorf("%d workers on %d controllers of %d connections: %v, %d are too many, %d still move", tc.workers, tc.controllers, tc.connections, r.Load(), over, moved)
+		}
+	}
+}
--- a/internal/relay/receiver.go
+++ b/internal/relay/receiver.go
@@ -16,7 +16,7 @@
 
 // AnswerFunc decides the answer to a report that a follower relays. It may wait for
 // commands to come up.
-type AnswerFunc func(ctx context.Context, r *wire.Report, relay string) peer.RelayedAnswer
+type AnswerFunc func(ctx context.Context, r *wire.Report, relay string, pressure Pressure) peer.RelayedAnswer
 
 // Receiver answers the batches of a leader's followers, for one term.
 type Receiver struct {
@@ -63,7 +63,7 @@
 		case report == nil:
 			reply.Resend = append(reply.Resend, head.Host)
 		default:
-			go func() { v.deliver(args.From, v.answer(v.ctx, report, args.From)) }()
+			go func() { v.deliver(args.From, v.answer(v.ctx, report, args.From, min(Pressure(head.Pressure), Full))) }()
 		}
 	}
 	reply.Answers = v.takeAnswers(args.From)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -76,7 +76,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		newReceiver := func(term uint64) *Receiver {
-			return NewReceiver(ctx, term, []string{"n1", "n2"}, func(_ context.Context, r *wire.Report, _ string) peer.RelayedAnswer {
+			return NewReceiver(ctx, term, []string{"n1", "n2"}, func(_ context.Context, r *wire.Report, _ string, _ Pressure) peer.RelayedAnswer {
 				mu.Lock()
 				defer mu.Unlock()
 				want := sentReports[keyOf(r.Host, r.Shift, r.Tick)]
@@ -196,7 +196,7 @@
 	}
 }
 
-func echoAnswer(_ context.Context, r *wire.Report, _ string) peer.RelayedAnswer {
+func echoAnswer(_ context.Context, r *wire.Report, _ string, _ Pressure) peer.RelayedAnswer {
 	return peer.RelayedAnswer{Host: r.Host, Shift: r.Shift, Tick: r.Tick, Status: http.StatusOK}
 }
 
@@ -216,7 +216,7 @@
 		go s.Run(ctx)
 		report := func(to Leader, tick uint64) (took time.Duration, err error) {
 			began := time.Now()
-			_, err = s.Report(ctx, to, &wire.Report{Host: "m", Shift: 1, Tick: tick}, []byte("{}"))
+			_, err = s.Report(ctx, to, &wire.Report{Host: "m", Shift: 1, Tick: tick}, []byte("{}"), Relaxed)
 			return time.Since(began), err
 		}
 		if took, err := report(Leader{"n0", 2}, 1); !errors.Is(err, ErrNoAnswer) || took != s.Patience {
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -29,11 +29,18 @@
 	directBelow     = 0.4  // fewer are not
 	workersShare    = 0.5  // workers that a follower takes
 	leaderShare     = 0.25 // workers that the leader keeps itself once others relay
+	mostShare       = 0.65 // workers that any controller takes where these are too few for the fleet
+	headroom        = 1.05 // times the fleet that the controllers together are to take
 	unevenness      = 1.25 // times the least load that a follower may have before it gives workers up
 	moveIntervals   = 4    // reports' intervals in which the whole fleet may be moved
-	stayLeases      = 3    // leases for which a worker stays where it came back to
+	stayLeases      = 3    // leases for which a worker stays that cannot reach the controller it left
+	stayIntervals   = 2    // reports' intervals for which one stays that has met a slow answer
+	censusShare     = 0.25 // of a report's interval: how often it is counted who is heard
 )
 
+// MostWorkers is how many workers can keep a connection to a controller with so many.
+func MostWorkers(connections int) int { return int(mostShare * float64(connections)) }
+
 // RouterConfig is what a Router is made with.
 type RouterConfig struct {
 	Self        string            // label of this node
@@ -50,13 +57,30 @@
 type Router struct {
 	RouterConfig
 
-	mu      sync.Mutex
-	mode    Mode
-	workers map[string]*placement // by host
-	load    map[string]int        // workers by label
-	usable  map[string]bool       // followers that are reached and can relay
-	moves   *rate.Limiter
-	swept   time.Time
+	mu        sync.Mutex
+	mode      Mode
+	size      int                   // of the fleet
+	workers   map[string]*placement // by host
+	load      map[string]int        // workers by label
+	usable    map[string]bool       // followers that are reached and can relay
+	full      map[string]time.Time  // until when controllers that had no connection get no workers
+	growth    float64               // times its usual share that a controller takes, up to mostShare
+	moves     *rate.Limiter
+	swept     time.Time
+	attending census
+}
+
+// census counts the workers of each controller: those that were heard lately, and those that
+// have gone elsewhere by themselves.
+type census struct {
+	at          time.Time
+	heard, left map[string]int // by label
+}
+
+// hears reports whether a controller hears most of its workers, so that one that has gone
+// elsewhere has rather met a slow answer than lost the way.
+func (c *census) hears(label string) bool {
+	return c.heard[label] > 1 && c.heard[label] > c.left[label]
 }
 
 // placement is where a worker reports.
@@ -65,12 +89,14 @@
 	tick     uint64
 	at       string // label; where it was sent, if it was
 	seen     time.Time
-	staysTil time.Time // it came here by itself: it is not sent anywhere before
+	left     string    // the controller that it has left by itself
+	leftAt   time.Time // and when
+	leftOnce bool      // it had not left that one before, for as long as workers stay away
 }
 
 // NewRouter makes a router in a mode: what the leader before had, if that is known.
 func NewRouter(cfg RouterConfig, mode Mode) *Router {
-	return &Router{RouterConfig: cfg, mode: mode, workers: map[string]*placement{}, load: map[string]int{}, usable: map[string]bool{},
+	return &Router{RouterConfig: cfg, mode: mode, workers: map[string]*placement{}, load: map[string]int{}, usable: map[string]bool{}, full: map[string]time.Time{}, growth: 1,
 		moves: rate.NewLimiter(0, 1)}
 }
 
@@ -102,6 +128,8 @@
 	case float64(workers) < connections*directBelow:
 		r.setMode(Direct, workers)
 	}
+	r.size = workers
+	r.grow()
 	perSecond := float64(workers) / (moveIntervals * r.ReportEvery.Seconds())
 	r.moves.SetLimit(rate.Limit(perSecond))
 	r.moves.SetBurst(max(1, int(perSecond)))
@@ -111,7 +139,28 @@
 func (r *Router) Usable(label string, usable bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.usable[label] = usable
+	if r.usable[label] != usable {
+		r.usable[label] = usable
+		r.grow()
+	}
+}
+
+// grow lets controllers take more than their usual share where the usual shares of those that
+// are reached do not hold the fleet. r.mu is held.
+func (r *Router) grow() {
+	const step = 1.1
+	for r.growth = 1; ; r.growth *= step {
+		room, most := 0, true
+		for label := range r.Zones {
+			if label == r.Self || r.usable[label] {
+				room += r.capacity(label)
+				most = most && r.share(label) >= mostShare
+			}
+		}
+		if most || float64(room) >= headroom*float64(r.size) {
+			return
+		}
+	}
 }
 
 // Load is the number of workers by the label of the controller that they report to.
@@ -126,8 +175,9 @@
 }
 
 // Route notes that a worker reports at a controller, and returns where it has to go: ""
-// if it stays. A late copy of a report says nothing about where the worker is.
-func (r *Router) Route(report *wire.Report, at string, now time.Time) string {
+// if it stays. A late copy of a report says nothing about where the worker is. A controller
+// that has no connection left for it gives it up at once, if another one has room.
+func (r *Router) Route(report *wire.Report, at string, pressure Pressure, now time.Time) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.mode == Direct {
@@ -135,24 +185,26 @@
 	}
 	r.sweep(now)
 	p, fresh := r.note(report, at, now)
-	if !fresh || now.Before(p.staysTil) {
+	if !fresh || r.stays(p, now) {
 		return ""
 	}
-	to := r.choose(report.Yard, at)
+	if pressure == Full {
+		r.full[at] = now.Add(r.Lease)
+	}
+	to := r.choose(report.Yard, at, pressure, now)
 	if to == at {
 		return ""
 	}
 	// What a controller has too much of goes at once: it has no connections left.
-	if tooMany := r.load[at] > r.capacity(at); !tooMany && !r.moves.AllowN(now, 1) {
+	tooMany := pressure == Full || r.load[at] > r.capacity(at)
+	if !tooMany && !r.moves.AllowN(now, 1) {
 		return ""
 	}
 	r.moveLoad(p, to)
 	return to
 }
 
-// note keeps where a worker reports. One that has gone elsewhere by itself is left alone
-// for a while: it may not reach the controller that it comes from. Sent back at once, it
-// would lose its lease on the way. r.mu is held.
+// note keeps where a worker reports. r.mu is held.
 func (r *Router) note(report *wire.Report, at string, now time.Time) (p *placement, fresh bool) {
 	p = r.workers[report.Host]
 	if p == nil {
@@ -164,12 +216,47 @@
 	}
 	p.shift, p.tick, p.seen = report.Shift, report.Tick, now
 	if p.at != "" && at != p.at {
-		p.staysTil = now.Add(stayLeases * r.Lease)
+		p.leftOnce = p.left != p.at || now.Sub(p.leftAt) > stayLeases*r.Lease
+		p.left, p.leftAt = p.at, now
 	}
 	r.moveLoad(p, at)
 	return p, true
 }
 
+// stays reports whether a worker that has gone elsewhere by itself is left alone there: it may
+// not reach the controller that it has left. Sent back at once, it would lose its lease on the
+// way. If that controller hears most of its workers, and the worker has not left it before, it
+// has met a slow answer and may go back soon: away from its zone for three leases, it lost its
+// tasks when the zone was cut off meanwhile. r.mu is held.
+func (r *Router) stays(p *placement, now time.Time) bool {
+	switch away := now.Sub(p.leftAt); {
+	case p.left == "" || away >= stayLeases*r.Lease:
+		return false
+	case away < stayIntervals*r.ReportEvery:
+		return true
+	default:
+		return !p.leftOnce || !r.count(now).hears(p.left)
+	}
+}
+
+// count is the census as it was a moment ago. r.mu is held.
+func (r *Router) count(now time.Time) *census {
+	c := &r.attending
+	if now.Sub(c.at) < time.Duration(censusShare*float64(r.ReportEvery)) {
+		return c
+	}
+	*c = census{at: now, heard: map[string]int{}, left: map[string]int{}}
+	for _, p := range r.workers {
+		if now.Sub(p.seen) <= stayIntervals*r.ReportEvery {
+			c.heard[p.at]++
+		}
+		if p.left != "" && p.left != p.at && now.Sub(p.leftAt) < stayLeases*r.Lease {
+			c.left[p.left]++
+		}
+	}
+	return c
+}
+
 // moveLoad counts a worker at a controller. r.mu is held.
 func (r *Router) moveLoad(p *placement, to string) {
 	if p.at == to {
@@ -184,23 +271,25 @@
 
 // choose is the controller that a worker of a zone which reports at one should report
 // to. r.mu is held.
-func (r *Router) choose(zone, at string) string {
-	if r.Zones[at] == zone && r.load[at] <= r.capacity(at) {
+func (r *Router) choose(zone, at string, pressure Pressure, now time.Time) string {
+	over := pressure == Full || r.load[at] > r.capacity(at)
+	if r.Zones[at] == zone && !over {
 		return at
 	}
-	if home := r.least(func(label string) bool { return r.Zones[label] == zone }); home != "" {
+	other := func(label string) bool { return !over || label != at }
+	if home := r.least(now, func(label string) bool { return r.Zones[label] == zone && other(label) }); home != "" {
 		return home
 	}
-	least := r.least(func(label string) bool { return label != r.Self })
+	least := r.least(now, func(label string) bool { return label != r.Self && other(label) })
 	if least == "" {
 		// No follower has room: the leader takes what is too much for one.
-		if r.load[at] > r.capacity(at) && r.load[r.Self] < r.capacity(r.Self) {
+		if over && at != r.Self && r.load[r.Self] < r.capacity(r.Self) && !now.Before(r.full[r.Self]) {
 			return r.Self
 		}
 		return at
 	}
 	switch {
-	case r.load[at] > r.capacity(at), at != r.Self && !r.usable[at]:
+	case over, at != r.Self && !r.usable[at]:
 		return least
 	case at == r.Self:
 		return least // the leader has other things to do
@@ -210,21 +299,24 @@
 	return at
 }
 
-// capacity is how many workers a controller takes. r.mu is held.
-func (r *Router) capacity(label string) int {
+// share is the share of its connections that a controller gives to workers. r.mu is held.
+func (r *Router) share(label string) float64 {
 	share := workersShare
 	if label == r.Self {
 		share = leaderShare
 	}
-	return int(share * float64(r.Connections))
+	return min(share*r.growth, mostShare)
 }
 
+// capacity is how many workers a controller takes. r.mu is held.
+func (r *Router) capacity(label string) int { return int(r.share(label) * float64(r.Connections)) }
+
 // least is the controller with the fewest workers of those that can take one more, or
 // "". r.mu is held.
-func (r *Router) least(which func(label string) bool) string {
+func (r *Router) least(now time.Time, which func(label string) bool) string {
 	best := ""
 	for label := range r.Zones {
-		if label != r.Self && !r.usable[label] || !which(label) || r.load[label] >= r.capacity(label) {
+		if label != r.Self && !r.usable[label] || !which(label) || r.load[label] >= r.capacity(label) || now.Before(r.full[label]) {
 			continue
 		}
 		if best == "" || r.load[label] < r.load[best] || r.load[label] == r.load[best] && label < best {
@@ -241,7 +333,7 @@
 	}
 	r.swept = now
 	for host, p := range r.workers {
-		if now.Sub(p.seen) > r.Lease && now.After(p.staysTil) {
+		if now.Sub(p.seen) > r.Lease && now.Sub(p.leftAt) > stayLeases*r.Lease {
 			r.load[p.at]--
 			delete(r.workers, host)
 		}
--- a/internal/relay/router_test.go
+++ b/internal/relay/router_test.go
@@ -35,7 +35,7 @@
 	for range seconds {
 		*now = now.Add(time.Second)
 		for host := range at {
-			if to := r.Route(sent.next(host, zoneOf(host)), at[host], *now); to != "" {
+			if to := r.Route(sent.next(host, zoneOf(host)), at[host], Relaxed, *now); to != "" {
 				at[host] = to
 				moves++
 			}
@@ -55,7 +55,7 @@
 			t.Errorf("with %d workers the mode is %s", step.workers, r.Mode())
 		}
 	}
-	if to := r.Route(&wire.Report{Host: "m", Yard: "b", Shift: 1, Tick: 1}, "n0", time.Now()); to != "" {
+	if to := r.Route(&wire.Report{Host: "m", Yard: "b", Shift: 1, Tick: 1}, "n0", Relaxed, time.Now()); to != "" {
 		t.Errorf("a small fleet's worker is sent to %s", to)
 	}
 }
@@ -139,17 +139,17 @@
 	var sent reports
 	r.Resize(300)
 	now := time.Unix(1000, 0)
-	if to := r.Route(sent.next("m", "b"), "n2", now); to != "n1" {
+	if to := r.Route(sent.next("m", "b"), "n2", Relaxed, now); to != "n1" {
 		t.Fatalf("sent to %q", to)
 	}
 	for second := range 30 {
 		now = now.Add(time.Second)
-		if to := r.Route(sent.next("m", "b"), "n2", now); to != "" {
+		if to := r.Route(sent.next("m", "b"), "n2", Relaxed, now); to != "" {
 			t.Fatalf("sent to %s again after %d s", to, second)
 		}
 	}
 	now = now.Add(time.Second)
-	if to := r.Route(sent.next("m", "b"), "n2", now); to != "n1" {
+	if to := r.Route(sent.next("m", "b"), "n2", Relaxed, now); to != "n1" {
 		t.Errorf("sent to %q three leases later", to)
 	}
 }
@@ -165,7 +165,7 @@
 	now := time.Unix(1000, 0)
 	moved := 0
 	for i := range 40 {
-		if r.Route(sent.next(fmt.Sprintf("m-%d", i), "b"), "n2", now) != "" {
+		if r.Route(sent.next(fmt.Sprintf("m-%d", i), "b"), "n2", Relaxed, now) != "" {
 			moved++
 		}
 	}
@@ -183,11 +183,11 @@
 	var sent reports
 	old := sent.next("m", "b")
 	for _, report := range []*wire.Report{old, sent.next("m", "b")} {
-		if to := r.Route(report, "n1", now); to != "" {
+		if to := r.Route(report, "n1", Relaxed, now); to != "" {
 			t.Fatalf("a worker at home is sent to %s", to)
 		}
 	}
-	if to := r.Route(old, "n2", now.Add(time.Second)); to != "" {
+	if to := r.Route(old, "n2", Relaxed, now.Add(time.Second)); to != "" {
 		t.Errorf("a late copy is sent to %s", to)
 	}
 	if load := r.Load(); load["n1"] != 1 || load["n2"] != 0 {
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -25,8 +25,10 @@
 type pendingReport struct {
 	report *wire.Report
 	body   []byte
-	state  reportState
-	result chan result // has room for the one result
+	// pressure is how short of connections this node was when the report came.
+	pressure Pressure
+	state    reportState
+	result   chan result // has room for the one result
 }
 
 // result is what became of a report.
@@ -78,8 +80,8 @@
 
 // Report relays one report to the leader and waits for the answer. The error is one of
 // the package's, or that of the context.
-func (s *Sender) Report(ctx context.Context, to Leader, r *wire.Report, body []byte) (peer.RelayedAnswer, error) {
-	p := &pendingReport{report: r, body: body, result: make(chan result, 1)}
+func (s *Sender) Report(ctx context.Context, to Leader, r *wire.Report, body []byte, pressure Pressure) (peer.RelayedAnswer, error) {
+	p := &pendingReport{report: r, body: body, pressure: pressure, result: make(chan result, 1)}
 	if err := s.add(to, p); err != nil {
 		return peer.RelayedAnswer{}, err
 	}
@@ -225,9 +227,9 @@
 		p.move(sent)
 		inBatch = append(inBatch, p)
 		if last := s.taken[p.report.Host]; last != nil && sameButTick(last, p.report) {
-			b.repeat(p.report, last)
+			b.repeat(p.report, last, p.pressure)
 		} else {
-			b.add(p.report, p.body)
+			b.add(p.report, p.body, p.pressure)
 			full++
 		}
 	}
--- /dev/null
+++ b/internal/relay/size_test.go
@@ -0,0 +1,58 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"lotusstile.dev/lotusstile/internal/peer"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// All workers of a fleet of 4,096 and of 6,000 machines report at one follower within one
+// interval, in full and then as repetitions: each gets the answer to its report, over as many
+// batches as it takes.
+func TestWholeFleetReportsAtOneFollower(t *testing.T) {
+	for _, workers := range []int{4096, 6000} {
+		receiver := NewReceiver(context.Background(), 1, []string{"n1"}, echoAnswer)
+		batches, largest := 0, 0
+		s := testSender(func(_ Leader, args peer.RelayArgs) (peer.RelayReply, error) {
+			batches++
+			size := 0
+			for _, r := range args.Reports {
+				size += r.Size
+			}
+			largest = max(largest, size)
+			return receiver.Exchange(args)
+		})
+		for tick := uint64(1); tick <= 2; tick++ {
+			waiting := make([]*pendingReport, workers)
+			for i := range waiting {
+				r := &wire.Report{Host: fmt.Sprintf("m-%06d", i), Yard: "a", Shift: 1, Tick: tick}
+				for leg := range 8 {
+					r.Legs = append(r.Legs, wire.LegReport{Leg: wire.LegName("run-000001", 8*i+leg), Try: 1, Status: wire.LegRunning})
+				}
+				waiting[i] = pendingOf(r)
+				if err := s.add(Leader{"n0", 1}, waiting[i]); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for exchanges := 0; s.waiting() && exchanges < 10_000; exchanges++ {
+				s.exchange()
+			}
+			for i, p := range waiting {
+				select {
+				case res := <-p.result:
+					if res.err != nil || res.answer.Host != p.report.Host || res.answer.Tick != tick {
+						t.Fatalf("report %d of %d ends with %+v", i, workers, res)
+					}
+				default:
+					t.Fatalf("report %d of %d gets no answer", i, workers)
+				}
+			}
+		}
+		if batches < 2 || largest > maxBatchBytes {
+			t.Errorf("%d batches, the largest of %d bytes", batches, largest)
+		}
+	}
+}
--- a/internal/standby/part.go
+++ b/internal/standby/part.go
@@ -7,15 +7,18 @@
 	"github.com/klauspost/compress/s2"
 
 	"lotusstile.dev/lotusstile/internal/peer"
+	"lotusstile.dev/lotusstile/wire"
 )
 
 // Limits of a part.
 const (
 	// partBytes is after how many bytes of entries a part ends.
 	partBytes = 256 << 10
-	// maxPartBytes is the most that a part may have decoded: one entry more than
-	// partBytes, of the largest size that a value may have, with room to spare.
-	maxPartBytes = 4 * partBytes
+	// runningTaskBytes is the most that a running task takes in the view of its job.
+	runningTaskBytes = 16
+	// maxPartBytes is the most that a part may have decoded: one entry more than partBytes,
+	// the largest of which is the view of a job all of whose tasks run, with room to spare.
+	maxPartBytes = 2*partBytes + wire.MaxLegs*runningTaskBytes
 )
 
 // encodePart makes the body of a part.
--- /dev/null
+++ b/internal/standby/size_test.go
@@ -0,0 +1,61 @@
+package standby
+
+import (
+	"fmt"
+	"testing"
+
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// knowing is a leader that knows machines and a job all of whose tasks run.
+type knowing struct {
+	entries []*Entry
+	taken   int
+}
+
+func (k *knowing) TakeChangedViews(most int) ([]*Entry, bool) {
+	n := min(most, len(k.entries)-k.taken)
+	k.taken += n
+	return k.entries[k.taken-n : k.taken], k.taken < len(k.entries)
+}
+
+// A follower takes over the views of 4,096 and of 6,000 machines, of their jobs and of the
+// largest job that there may be, and keeps up while all of them change. That job's view was
+// larger than a part might be, and the follower began anew for ever.
+func TestLargeFleetIsFollowed(t *testing.T) {
+	for _, machines := range []int{4096, 6000} {
+		views := &knowing{}
+		for i := range machines {
+			v := MachineView{Host: fmt.Sprintf("m-%06d", i), Address: "10.1.0.232:9000", Type: "g8", Zone: "zone-a", Session: 1, Images: []string{"image-1", "image-2"}}
+			e, err := v.Entry()
+			if err != nil {
+				t.Fatal(err)
+			}
+			views.entries = append(views.entries, e)
+		}
+		largest := JobView{UID: "run-000001"}
+		var tasks []RunningTask
+		for i := range wire.MaxLegs {
+			tasks = append(tasks, RunningTask{Task: i, Try: 1 << 40, SinceS: int64(i) << 10})
+		}
+		if err := largest.SetRunning(tasks); err != nil {
+			t.Fatal(err)
+		}
+		e, err := largest.Entry()
+		if err != nil {
+			t.Fatal(err)
+		}
+		views.entries = append(views.entries, e)
+		l := newLeader(newService())
+		l.source.Seed(views)
+		f := follow("n1", map[string]*Source{"l": l.source})
+		for range 2 {
+			f.Pull("l", l.term)
+			st, has := f.Status(), l.source.Status()
+			if st.State != Following || st.Sequence != has.Sequence || st.Entries != machines+1 || len(st.Refused) > 0 {
+				t.Fatalf("with %d machines the follower is %s at %d of %d, has %d entries, refused %v", machines, st.State, st.Sequence, has.Sequence, st.Entries, st.Refused)
+			}
+			views.taken = 0 // all change
+		}
+	}
+}
--- a/internal/standby/source.go
+++ b/internal/standby/source.go
@@ -21,14 +21,19 @@
 
 // Limits of a source.
 const (
-	// loggedChanges is how many changes a follower may lag behind before it has to take
-	// everything anew.
-	loggedChanges = 1 << 15
+	// leastLoggedChanges is how many changes a follower may lag behind at least before it has
+	// to take everything anew. It is more in a large fleet: see loggedChanges.
+	leastLoggedChanges = 1 << 10
 	// viewsAtOnce is how many views are taken in one go: the leader's rounds wait for no
 	// more than these.
 	viewsAtOnce = 256
 )
 
+// loggedChanges is how many changes a follower may lag behind: as many as there are entries.
+// One that lags further takes everything at less cost than the changes one by one. s.mu is
+// held.
+func (s *Source) loggedChanges() int { return max(leastLoggedChanges, s.contents.tree.Len()) }
+
 // change is what was changed by a sequence number.
 type change struct {
 	sequence uint64
@@ -101,8 +106,8 @@
 		s.log = append(s.log, change{s.sequence, entry.Key})
 	}
 	s.contents = edit.contents()
-	if len(s.log) > 2*loggedChanges {
-		s.log = append([]change(nil), s.log[len(s.log)-loggedChanges:]...)
+	if keep := s.loggedChanges(); len(s.log) > 2*keep {
+		s.log = append([]change(nil), s.log[len(s.log)-keep:]...)
 	}
 }
 
--- a/internal/standby/standby_test.go
+++ b/internal/standby/standby_test.go
@@ -312,7 +312,7 @@
 	}
 	delete(sources, "l")
 	now = now.Add(5 * time.Minute)
-	for i := range 2*loggedChanges + 10 {
+	for i := range 2*leastLoggedChanges + 10 {
 		l.write(fmt.Sprint(i), false, fmt.Sprintf("p/run-%d/000000", i%20))
 	}
 	for _, x := range []*Follower{f, g, h} {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,8 @@
 	ErrUnknown = errors.New("outcome at the state service is unknown")
 	// ErrNoHold: the hold has ended.
 	ErrNoHold = errors.New("no such hold")
+	// ErrPage: a page of a listing does not follow on the one before.
+	ErrPage = errors.New("page of a listing is not in order")
 	// ErrTooOld: a watch asked for changes that are no longer kept.
 	ErrTooOld = errors.New("changes are no longer kept")
 )
@@ -81,10 +84,13 @@
 // Shares of any node: over half of the limits. When many users come at once,
 // what leaves room for records is that the service refuses the rest.
 const (
-	requestShare = 0.6
+	RequestShare = 0.6
 	userShare    = 0.6
 )
 
+// PageSize is how many keys a page of a listing has at most.
+const PageSize = 500
+
 // overtakenShare of the time-out of a request is what a commit waits at least
 // before it counts as overtaken.
 const overtakenShare = 5
@@ -97,7 +103,7 @@
 		base:    "http://" + addr,
 		timeout: timeout,
 		http:    &http.Client{Transport: rt},
-		reqs:    limiter(rps * requestShare),
+		reqs:    limiter(rps * RequestShare),
 		writes:  limiter(writeRps * RecordShare),
 		users:   limiter(writeRps * userShare),
 		epoch:   time.Now(),
@@ -200,7 +206,7 @@
 	var epoch uint64
 	after := ""
 	for {
-		q := url.Values{"Under": {under}, "Most": {"500"}}
+		q := url.Values{"Under": {under}, "Most": {strconv.Itoa(PageSize)}}
 		if after != "" {
 			q.Set("After", after)
 		}
@@ -218,14 +224,33 @@
 		if epoch == 0 {
 			epoch = page.Epoch
 		}
+		if err := checkPage(&page, under, after); err != nil {
+			return nil, 0, fmt.Errorf("list %s: %w", under, err)
+		}
 		rows = append(rows, page.Rows...)
-		if !page.More || len(page.Rows) == 0 {
+		if !page.More {
 			return rows, epoch, nil
 		}
 		after = page.Rows[len(page.Rows)-1].Key
 	}
 }
 
+// checkPage refuses a page of a listing that repeats or leaves out keys, as far as it tells: a
+// new leader would not know of what they hold.
+func checkPage(page *wire.Items, under, after string) error {
+	if page.More && len(page.Rows) == 0 {
+		return fmt.Errorf("%w: it is empty, and there are more", ErrPage)
+	}
+	for i := range page.Rows {
+		key := page.Rows[i].Key
+		if key <= after || !strings.HasPrefix(key, under) {
+			return fmt.Errorf("%w: %q follows on %q", ErrPage, key, after)
+		}
+		after = key
+	}
+	return nil
+}
+
 // overtaken makes a context that ends when a request is overtaken: requests that
 // were begun well after it have been answered, and it has not. Its answer is then
 // lost or the service holds it up, and waiting on would only hold up what waits
