--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"lotusstile.dev/lotusstile/internal/config"
 	"lotusstile.dev/lotusstile/internal/fleet"
 	"lotusstile.dev/lotusstile/internal/ledger"
 	"lotusstile.dev/lotusstile/wire"
@@ -48,3 +49,62 @@
 		c.round(time.Second / 3)
 	}
 }
+
+// largeFleet is a leader whose machines run eight tasks each, with so many jobs that wait.
+func largeFleet(machines, waiting int, now *time.Time) *Controller {
+	c := benchFleet(now)
+	c.Deps.Config.Cluster.Teams = []config.Team{{Name: "crew"}}
+	c.Reached = func() []string { return []string{"a"} }
+	uid := func(i int) string { return fmt.Sprintf("run-%06d", i) }
+	spec := func(i int, rank wire.Rank, cores float64) wire.Work {
+		return wire.Work{UID: uid(i), Berth: "serve", Crew: "crew", Shape: wire.Standing, Rank: rank, Legs: 8, Cores: cores, Gpus: 1, RAMGb: 40, Rollout: fmt.Sprint("image-", i%12)}
+	}
+	for i := range machines {
+		s := spec(i, wire.High, 8)
+		if i%3 == 0 {
+			s.Rank, s.Shape, s.Standby = wire.BestEffort, wire.Sweep, true
+		}
+		c.takeJob(s.UID, ledger.Entry{Job: &ledger.Job{Spec: s, Status: wire.JobQueued, Per: 80}, Stamp: 1})
+		m, _ := c.fleet.Report(&wire.Report{Host: fmt.Sprintf("m-%06d", i), Rig: "g8", Yard: "a", Shift: 1, Tick: 1, Baton: c.term}, *now)
+		c.capacity(m)
+		j := c.jobs[s.UID]
+		legs := []wire.LegReport{}
+		for leg := range 8 {
+			if leg == 7 && i%10 == 0 {
+				continue
+			}
+			a := &fleet.Attempt{UID: s.UID, Task: leg, Try: 1, Need: j.need, Image: s.Rollout}
+			j.piece(leg).live[leg] = a
+			j.live++
+			c.fleet.Place(m, a, *now)
+			c.fleet.Commit(a, *now)
+			c.fleet.Orders(m, *now, true)
+			legs = append(legs, wire.LegReport{Leg: a.Name(), Try: 1, Status: wire.LegRunning})
+		}
+		c.fleet.Report(&wire.Report{Host: m.ID, Rig: "g8", Yard: "a", Shift: 1, Tick: 2, Baton: c.term, Legs: legs}, *now)
+	}
+	for i := range waiting {
+		s := spec(1_000_000+i, wire.Standard, 96) // no machine has room for it
+		s.Legs = 30
+		c.takeJob(s.UID, ledger.Entry{Job: &ledger.Job{Spec: s, Status: wire.JobQueued, Per: 80}, Stamp: 1})
+	}
+	return c
+}
+
+// All of a leader's round while jobs wait that no machine has room for: the view of the
+// machines, the round, who is alive, spare room and rentals.
+func BenchmarkLeaderRound(b *testing.B) {
+	for _, machines := range []int{340, 1350, 4000, 6000} {
+		for _, waiting := range []int{0, 50, 500} {
+			b.Run(fmt.Sprintf("machines=%d/waiting=%d", machines, waiting), func(b *testing.B) {
+				now := time.Now()
+				c := largeFleet(machines, waiting, &now)
+				b.ReportAllocs()
+				b.ResetTimer()
+				for range b.N {
+					c.round(time.Second / 3)
+				}
+			})
+		}
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -104,12 +104,13 @@
 	countsRevision uint64 // counts changes of jobs' counts of tasks
 	fleet          *fleet.Fleet
 
-	// Rounds: round.go, picture.go, spare.go.
+	// Rounds: round.go, picture.go, nodes.go, spare.go.
 	window        int
 	last          wire.RoundStatus
 	lastAt        time.Time
 	arrive        map[string]*arrivals
 	spareMachines map[string]bool // machines kept as spare room by the last round
+	nodes         keptNodes       // nodes.go
 
 	// The cloud: rent.go.
 	cat     *wire.Catalog
@@ -148,6 +149,7 @@
 		arrive: map[string]*arrivals{}, cutOff: map[string]time.Time{}, noted: map[string]imageNote{}, announced: map[string]time.Time{}, waitingAnswers: map[string]chan struct{}{}, carrierLost: map[string]time.Time{}}
 	c.fleet = fleet.New(term, d.Config.Lease(), c)
 	c.returns = map[string]*pendingReturn{}
+	c.nodes = newKeptNodes()
 	c.countsRevision = 1
 	c.begun = c.now()
 	c.window = d.Settings().Window
@@ -246,6 +248,7 @@
 	for i := range c.cat.Rigs {
 		if c.cat.Rigs[i].Sku == m.Type {
 			m.Cap = provision.Cap(&c.cat.Rigs[i])
+			c.fleet.Touch(m)
 		}
 	}
 }
--- a/internal/controller/dependencies.go
+++ b/internal/controller/dependencies.go
@@ -69,6 +69,7 @@
 	for _, uid := range effects.Urgency {
 		if j := c.jobs[uid]; j != nil {
 			j.level, j.dueMs = c.graph.Urgency(uid)
+			c.touchJob(j)
 		}
 	}
 	for _, uid := range effects.Released {
--- a/internal/controller/events.go
+++ b/internal/controller/events.go
@@ -46,6 +46,7 @@
 
 // dropJob forgets a job that is archived.
 func (c *Controller) dropJob(j *job, now time.Time) {
+	c.touchJob(j)
 	delete(c.jobs, j.uid)
 	c.views.job(j.uid)
 	c.archived(j.uid)
@@ -149,6 +150,7 @@
 			if o := c.fleet.Get(id); o != nil && o.Errors[j.uid] != (time.Time{}) {
 				if delete(o.Errors, j.uid); len(o.Errors) == 0 {
 					o.AvoidUntil = time.Time{}
+					c.fleet.Touch(o)
 				}
 			}
 		}
@@ -160,5 +162,6 @@
 		rest = 6 * lease
 	}
 	m.AvoidUntil = now.Add(rest)
+	c.fleet.Touch(m)
 	slog.Info("machine passed over", "host", m.ID, "jobs", len(m.Errors), "for", rest.String())
 }
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -20,9 +20,9 @@
 	live   map[int]*fleet.Attempt
 	ended  []*fleet.Attempt // ended, not yet recorded so
 	seq    int              // counts changes
-	dirty  bool
-	due    time.Time // when a dirty piece is to be written
-	unsure bool      // the outcome of a commit is unknown: read before writing
+	dirty  bool             // see setDirty
+	due    time.Time        // when a dirty piece is to be written
+	unsure bool             // the outcome of a commit is unknown: read before writing
 }
 
 // job is the leader's picture of a job.
@@ -37,6 +37,7 @@
 	fromMs         int64   // when it was accepted or, if later, released
 	need           fleet.Res
 	pieces         map[int]*piece
+	dirtyPieces    int // pieces that are to be written
 	done           int
 	live           int
 	freed          []int // tasks that wait again
@@ -199,7 +200,19 @@
 	if !p.dirty || due.Before(p.due) {
 		p.due = due
 	}
-	p.dirty = true
+	p.setDirty(true)
+}
+
+// setDirty notes whether a piece is to be written. Most jobs have no such piece, and rounds
+// and the writer pass them over.
+func (p *piece) setDirty(dirty bool) {
+	switch {
+	case dirty && !p.dirty:
+		p.job.dirtyPieces++
+	case !dirty && p.dirty:
+		p.job.dirtyPieces--
+	}
+	p.dirty = dirty
 }
 
 // planned lists the attempts whose launch is decided and not recorded yet.
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -147,6 +147,7 @@
 		for _, name := range rec.Names {
 			m.Images[name] = now
 		}
+		c.fleet.Touch(m)
 		c.noted[id] = imageNote{len(rec.Names), now}
 	}
 }
--- a/internal/controller/lost.go
+++ b/internal/controller/lost.go
@@ -66,56 +66,93 @@
 	}
 }
 
-// silence is how many machines of a zone are silent.
+// silence is how many machines of a zone, or of a controller, are silent.
 type silence struct {
 	total      int
 	longSilent int // for over three intervals of reports
 	silent     int // for over two
 }
 
-// manyRelayed reports whether so many machines report by way of other nodes that
-// this node's own links to the workers may have failed. Those that did not find
-// another node yet are then not lost: each that they try in vain costs them
-// several intervals.
-func (c *Controller) manyRelayed(now time.Time) bool {
-	n, total := 0, 0
+// liveness is what one look at all machines tells of who reports.
+type liveness struct {
+	// zones counts by zone who reports here: machines that a follower answers are behind the
+	// same cut as those that still look for a node. Under the empty name it counts all: that
+	// is how machines are judged of which a new leader knows no zone. They are no zone of
+	// their own: 62 spot machines that had been taken, and would never be listed again, were
+	// held for one that was cut off.
+	zones map[string]*silence
+	// carriers counts by the controller that answers them, "" for this one, machines that
+	// have reported in this term. While followers relay reports, those of one controller
+	// are a few of a zone or of the fleet, and most of them silent at once means that it has
+	// lost its links.
+	carriers map[string]*silence
+	newest   map[string]time.Time // newest report by carrier
+	relayed  int                  // machines that reported by way of other nodes in the last lease
+	total    int                  // machines that are not gone
+}
+
+// lookAround looks at all machines once.
+func (c *Controller) lookAround(now time.Time) *liveness {
+	every, lease := c.Config.ReportEvery(), c.Config.Lease()
+	l := &liveness{zones: map[string]*silence{}, carriers: map[string]*silence{}, newest: map[string]time.Time{}}
+	all := silenceOf(l.zones, "")
 	c.fleet.Each(func(m *fleet.Machine) {
 		if m.State != fleet.Gone {
-			total++
+			l.total++
 		}
-		if !m.Relayed.IsZero() && now.Sub(m.Relayed) < c.Config.Lease() {
-			n++
+		if !m.Relayed.IsZero() && now.Sub(m.Relayed) < lease {
+			l.relayed++
+		}
+		if m.Reported.After(l.newest[m.Via]) {
+			l.newest[m.Via] = m.Reported
+		}
+		silent := now.Sub(m.Reported)
+		if m.State == fleet.Ready || m.State == fleet.Confirming {
+			silenceOf(l.carriers, m.Via).count(silent, every)
 		}
-	})
-	return n > max(1, total/16)
-}
-
-// silences counts by zone who reports here: machines that a follower answers are
-// behind the same cut as those that still look for a node. Under the empty name
-// it counts all: that is how machines are judged of which a new leader knows no
-// zone. They are no zone of their own: 62 spot machines that had been taken, and
-// would never be listed again, were held for one that was cut off.
-func (c *Controller) silences(now time.Time) map[string]silence {
-	every := c.Config.ReportEvery()
-	zones := map[string]silence{}
-	c.fleet.Each(func(m *fleet.Machine) {
 		if m.State == fleet.Returning || m.State == fleet.Gone || m.State == fleet.Booting && m.LiveCount() == 0 {
 			return
 		}
-		silent := now.Sub(m.Reported)
-		for _, yard := range slices.Compact([]string{"", m.Zone}) {
-			z := zones[yard]
-			z.total++
-			if silent > 3*every {
-				z.longSilent++
-			}
-			if silent > 2*every {
-				z.silent++
-			}
-			zones[yard] = z
+		all.count(silent, every)
+		if m.Zone != "" {
+			silenceOf(l.zones, m.Zone).count(silent, every)
 		}
 	})
-	return zones
+	return l
+}
+
+func silenceOf(counts map[string]*silence, name string) *silence {
+	s := counts[name]
+	if s == nil {
+		s = &silence{}
+		counts[name] = s
+	}
+	return s
+}
+
+func (s *silence) count(silent, every time.Duration) {
+	s.total++
+	if silent > 3*every {
+		s.longSilent++
+	}
+	if silent > 2*every {
+		s.silent++
+	}
+}
+
+// most reports whether more than a part of the machines are silent, and more than one.
+func (s *silence) most(part int) bool { return s != nil && s.silent > max(1, s.total/part) }
+
+// manyRelayed reports whether so many machines report by way of other nodes that
+// this node's own links to the workers may have failed. Those that did not find
+// another node yet are then not lost: each that they try in vain costs them
+// several intervals.
+func (l *liveness) manyRelayed() bool { return l.relayed > max(1, l.total/16) }
+
+// onlyHere reports whether this node is the only carrier.
+func onlyHere[T any](byCarrier map[string]T) bool {
+	_, here := byCarrier[""]
+	return here && len(byCarrier) == 1
 }
 
 // noteLostCarriers notes, while followers relay reports, which controllers seem to have lost
@@ -125,46 +162,17 @@
 // counting who is silent does not always tell by then: with 18 machines of its own, a leader
 // that had lost them gave up the first one in 7 % of the runs, since just under half of the
 // others had been silent for two intervals.
-func (c *Controller) noteLostCarriers(now time.Time) {
-	newest := map[string]time.Time{}
-	c.fleet.Each(func(m *fleet.Machine) {
-		if m.Reported.After(newest[m.Via]) {
-			newest[m.Via] = m.Reported
-		}
-	})
-	if _, direct := newest[""]; direct && len(newest) == 1 {
-		return // all machines report here
+func (c *Controller) noteLostCarriers(l *liveness, now time.Time) {
+	if onlyHere(l.newest) {
+		return
 	}
-	for via, reported := range newest {
+	for via, reported := range l.newest {
 		if now.Sub(reported) > c.Config.ReportEvery()/2 || via != "" && !c.RelayReached(via) {
 			c.carrierLost[via] = now
 		}
 	}
 }
 
-// silencesByCarrier counts by the controller that answers them, "" for this one, how many
-// machines are silent, if followers relay reports: then those of one controller are a few of
-// a zone or of the fleet, and most of them silent at once means that it has lost its links.
-// It is nil if all machines report here.
-func (c *Controller) silencesByCarrier(now time.Time) map[string]silence {
-	carriers := map[string]silence{}
-	c.fleet.Each(func(m *fleet.Machine) {
-		if m.State != fleet.Ready && m.State != fleet.Confirming {
-			return
-		}
-		k := carriers[m.Via]
-		k.total++
-		if now.Sub(m.Reported) > 2*c.Config.ReportEvery() {
-			k.silent++
-		}
-		carriers[m.Via] = k
-	})
-	if _, direct := carriers[""]; direct && len(carriers) == 1 {
-		return nil
-	}
-	return carriers
-}
-
 // workerTry is what a node that does not answer costs a worker, as the protocol
 // has it: it waits 4 s for the answer and tries the next node 1 s later.
 const workerTry = 5 * time.Second
@@ -172,11 +180,11 @@
 // declareLost decides which machines to return because they are lost.
 func (c *Controller) declareLost(now time.Time) {
 	every, lease := c.Config.ReportEvery(), c.Config.Lease()
-	zones, reached := c.silences(now), c.Reached()
+	around, reached := c.lookAround(now), c.Reached()
 	// Most machines of a zone that fall silent together are cut off rather than
 	// lost, if no controller there is reached either: what they run may go on,
 	// and they will be back. Where a controller is reached, they are lost.
-	for yard, z := range zones {
+	for yard, z := range around.zones {
 		if yard != "" && z.longSilent > 2 && 2*z.longSilent > z.total && !slices.Contains(reached, yard) {
 			c.cutOff[yard] = now
 		}
@@ -196,13 +204,13 @@
 	// How long a worker may look for a node: it learns with its next report that
 	// one is gone, and each that does not answer costs it one try.
 	search := every*5/4 + time.Duration(max(1, len(c.Config.Members)+1-len(reached)))*workerTry
-	if c.manyRelayed(now) {
+	if around.manyRelayed() {
 		// It may be this node's own links: a leader that had lost the workers
 		// returned 150 of 330 on their way to its peers, and 80 still when it
 		// gave up no more than an eighth, but after three intervals.
 		part, patience = 8, max(patience, search+every/2)
 	}
-	c.noteLostCarriers(now)
+	c.noteLostCarriers(around, now)
 	patienceWith := func(m *fleet.Machine) time.Duration {
 		if at, ok := c.carrierLost[m.Via]; ok && now.Sub(at) < lease {
 			// It looks for another node; its last answer may have waited for
@@ -211,13 +219,11 @@
 		}
 		return patience
 	}
-	carriers := c.silencesByCarrier(now)
 	lost := func(m *fleet.Machine) bool {
-		if k := carriers[m.Via]; k.silent > max(1, k.total/part) {
+		if !onlyHere(around.carriers) && around.carriers[m.Via].most(part) {
 			return false // it is rather the controller that they report to
 		}
-		z := zones[m.Zone]
-		return !cutOff(m) && z.silent <= max(1, z.total/part)
+		return !cutOff(m) && !around.zones[m.Zone].most(part)
 	}
 	// Behind a cut, a node without the state service stops renewing leases in
 	// time for withdrawn tasks to die: after this, nothing there runs on.
--- /dev/null
+++ b/internal/controller/nodes.go
@@ -0,0 +1,180 @@
+package controller
+
+import (
+	"log/slog"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/internal/sched"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// keptNodes is the machines as rounds see them, kept from round to round. A machine is made
+// anew when the fleet says that it may have changed, when time alone changes it, and all of
+// them now and then, so that a change that nobody told of is found.
+type keptNodes struct {
+	view    *sched.View
+	timed   map[string]time.Time // machines that time alone changes, and when
+	checked time.Time            // when all machines were last made anew
+	missed  uint64               // machines that had changed and nobody had told
+}
+
+func newKeptNodes() keptNodes {
+	return keptNodes{view: sched.NewView(), timed: map[string]time.Time{}}
+}
+
+// refreshNodes brings the rounds' view of the machines up to date. c.mu is held.
+func (c *Controller) refreshNodes(now time.Time) {
+	c.fleet.TakeChanged(func(id string, m *fleet.Machine) { c.putNode(id, m, now) })
+	for id, at := range c.nodes.timed {
+		if !now.Before(at) {
+			c.putNode(id, c.fleet.Get(id), now)
+		}
+	}
+	if now.Sub(c.nodes.checked) > c.Config.Lease() {
+		c.checkNodes(now)
+	}
+}
+
+// checkNodes makes all machines anew. None should have changed since it was last told.
+func (c *Controller) checkNodes(now time.Time) {
+	first := c.nodes.checked.IsZero()
+	c.nodes.checked = now
+	c.fleet.Each(func(m *fleet.Machine) {
+		if c.putNode(m.ID, m, now) && !first {
+			c.nodes.missed++
+			slog.Error("a machine has changed and its node has not", "host", m.ID, "state", m.State.String())
+		}
+	})
+}
+
+// putNode makes a machine's node anew, and reports whether it has changed. m is nil for a
+// machine that is no longer known.
+func (c *Controller) putNode(id string, m *fleet.Machine, now time.Time) (changed bool) {
+	delete(c.nodes.timed, id)
+	if m == nil {
+		c.nodes.view.Drop(id)
+		return false
+	}
+	if until := c.nodeChanges(m, now); !until.IsZero() {
+		c.nodes.timed[id] = until
+	}
+	node, ok := c.node(m, now)
+	if !ok {
+		return c.nodes.view.Drop(id)
+	}
+	return c.nodes.view.Put(&node)
+}
+
+// nodeChanges is when time alone will change a machine's node next; zero if it will not.
+func (c *Controller) nodeChanges(m *fleet.Machine, now time.Time) time.Time {
+	var next time.Time
+	for _, at := range [...]time.Time{m.AvoidUntil, c.countedOnUntil(m)} {
+		if at.After(now) && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	return next
+}
+
+// node is a machine as a round sees it; ok is false if it takes no launches now or soon.
+func (c *Controller) node(m *fleet.Machine, now time.Time) (n sched.Node, ok bool) {
+	n = sched.Node{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Cap: m.Cap, Price: c.price(m.Type, m.Spot)}
+	switch {
+	case m.Takes(now) && m.Orphans() == 0:
+		c.fillPresent(&n, m)
+		return n, true
+	case c.comes(m, now):
+		n.Later = m.Free()
+		return n, true
+	}
+	return n, false
+}
+
+// fillPresent fills in what a machine has and runs that takes launches.
+func (c *Controller) fillPresent(n *sched.Node, m *fleet.Machine) {
+	n.Free, n.Soon, n.Present, n.Pulling = m.Free(), m.Free(), true, m.Pulling()
+	n.Images = slices.AppendSeq(make([]string, 0, len(m.Images)), maps.Keys(m.Images))
+	n.Leaving = !m.Spot && !c.spareMachines[m.ID]
+	m.Each(func(a *fleet.Attempt) {
+		if !a.Live() {
+			return
+		}
+		if _, seen := m.Images[a.Image]; !seen && !slices.Contains(n.Images, a.Image) {
+			n.Images = append(n.Images, a.Image)
+		}
+		j := c.jobs[a.UID]
+		if j != nil && !j.rec.Spec.Standby {
+			n.Leaving, n.Fixed = false, true
+		}
+		switch {
+		case a.Stopping || a.State == fleet.Saving:
+			n.Soon = n.Soon.Add(a.Need)
+		case j != nil && (a.State == fleet.Running || a.State == fleet.Fetching):
+			n.Victims = append(n.Victims, victim(j, a))
+		}
+	})
+	n.Later = n.Soon
+}
+
+// victim is an attempt as one that work of a higher level may displace. A
+// replica that has not run yet serves nobody: it can be displaced like batch,
+// and loses what it has fetched.
+func victim(j *job, a *fleet.Attempt) sched.Victim {
+	v := sched.Victim{ID: a.Serial, Level: j.level, Need: a.Need}
+	switch serves := j.rec.Spec.Shape == wire.Standing; {
+	case !a.RunAt.IsZero():
+		v.Serve, v.Since, v.Loss = serves, a.RunAt, math.Inf(1)
+		if j.rec.Spec.MarkS > 0 {
+			v.Loss = j.rec.Spec.StowS
+		}
+	case serves:
+		v.Since, v.Loss = a.Since, math.Inf(1)
+	}
+	return v
+}
+
+// touchJob notes that the nodes of a job's machines may have changed.
+func (c *Controller) touchJob(j *job) {
+	j.each(func(a *fleet.Attempt) { c.fleet.Touch(a.Machine) })
+}
+
+// keepAsSpare takes which machines are kept as spare room.
+func (c *Controller) keepAsSpare(kept map[string]bool) {
+	for _, lists := range [...][2]map[string]bool{{kept, c.spareMachines}, {c.spareMachines, kept}} {
+		for id := range lists[0] {
+			if m := c.fleet.Get(id); m != nil && !lists[1][id] {
+				c.fleet.Touch(m)
+			}
+		}
+	}
+	c.spareMachines = kept
+}
+
+// comes reports whether a machine is expected to take launches soon. One that
+// boots for much longer than usual is no longer counted on.
+func (c *Controller) comes(m *fleet.Machine, now time.Time) bool {
+	if m.Warned || m.Failed || m.Cap.Cores == 0 {
+		return false
+	}
+	switch m.State {
+	case fleet.Confirming:
+		return !now.Before(m.AvoidUntil)
+	case fleet.Booting:
+		return now.Before(c.countedOnUntil(m))
+	}
+	return false
+}
+
+// countedOnUntil is until when a machine that boots is expected to come up.
+func (c *Controller) countedOnUntil(m *fleet.Machine) time.Time {
+	r := c.machineType(m.Type)
+	if m.State != fleet.Booting || r == nil {
+		return time.Time{}
+	}
+	const usualBoots, reports = 1.7, 2
+	return m.Born.Add(time.Duration((usualBoots*r.BootS + reports*c.Config.Cluster.Workers.ReportS) * float64(time.Second)))
+}
--- /dev/null
+++ b/internal/controller/nodes_test.go
@@ -0,0 +1,143 @@
+package controller
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lotusstile.dev/lotusstile/internal/config"
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// The kept nodes are, after every event, what they would be if all were made anew: whatever
+// changes a machine, an attempt, a job's level, prices or spare room has to be told.
+func TestKeptNodesAreAsMadeAnew(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		c := watched(&now)
+		c.Rounded, c.Heard = func(time.Duration) {}, func() []string { return nil }
+		c.Mirror.Reset(nil, 1, now)
+		c.Deps.Config.Cluster.Teams = []config.Team{{Name: "crew"}}
+		c.cat = &wire.Catalog{Rigs: []wire.Rig{{Sku: "g8", Cores: 64, Gpus: 8, RAMGb: 512, BootS: 30, Hourly: 20, LowPrice: 5, Yards: []string{"a", "b"}}}}
+		machine := func() *fleet.Machine {
+			return c.fleet.Get(fmt.Sprintf("m-%d", rapid.IntRange(0, 5).Draw(t, "machine")))
+		}
+		jobs, tick := 0, uint64(0)
+		report := func(m string, session uint64, legs []wire.LegReport) {
+			tick++
+			r := wire.Report{Host: m, Rig: "g8", Yard: "a", Standby: m == "m-1", Shift: session, Tick: tick, Baton: c.term, Legs: legs}
+			if rapid.IntRange(0, 30).Draw(t, "notice") == 0 {
+				r.WarningS = new(float64)
+			}
+			c.CheckIn(t.Context(), &r, CheckInOptions{})
+		}
+		check := func(what string) {
+			c.refreshNodes(now)
+			present := 0
+			c.fleet.Each(func(m *fleet.Machine) {
+				if _, ok := c.node(m, now); ok {
+					present++
+				}
+				if c.putNode(m.ID, m, now) {
+					t.Fatalf("after %s the node of %s is out of date", what, m.ID)
+				}
+			})
+			if n := c.nodes.view.Machines(); n != present {
+				t.Fatalf("after %s there are %d nodes of %d machines", what, n, present)
+			}
+		}
+		actions := map[string]func(t *rapid.T){
+			"report": func(t *rapid.T) {
+				id := fmt.Sprintf("m-%d", rapid.IntRange(0, 5).Draw(t, "host"))
+				var legs []wire.LegReport
+				if m := c.fleet.Get(id); m != nil {
+					m.Each(func(a *fleet.Attempt) {
+						states := []wire.LegStatus{wire.LegFetching, wire.LegRunning, wire.LegSaving, wire.LegEnded}
+						l := wire.LegReport{Leg: a.Name(), Try: a.Try, Status: rapid.SampledFrom(states).Draw(t, "status")}
+						if l.Status == wire.LegEnded {
+							l.Cause = rapid.SampledFrom([]wire.Cause{wire.CauseDone, wire.CauseError, wire.CauseStopped}).Draw(t, "cause")
+						}
+						if rapid.IntRange(0, 5).Draw(t, "missing") > 0 {
+							legs = append(legs, l)
+						}
+					})
+				}
+				if rapid.IntRange(0, 5).Draw(t, "orphan") == 0 {
+					legs = append(legs, wire.LegReport{Leg: "run-999999/0", Try: 1, Status: wire.LegRunning})
+				}
+				report(id, 1+uint64(rapid.IntRange(0, 20).Draw(t, "session"))/20, legs)
+			},
+			"job": func(t *rapid.T) {
+				jobs++
+				spec := wire.Work{UID: fmt.Sprintf("run-%06d", jobs), Berth: "serve", Crew: "crew", Shape: wire.Sweep, Rank: rapid.SampledFrom([]wire.Rank{wire.BestEffort, wire.High}).Draw(t, "rank"),
+					Legs: 2, Cores: 8, Gpus: 1, RAMGb: 8, Rollout: rapid.SampledFrom([]string{"i", "j"}).Draw(t, "image"), Standby: rapid.Bool().Draw(t, "spot")}
+				if jobs > 1 && rapid.Bool().Draw(t, "awaits") {
+					spec.Awaits = []string{fmt.Sprintf("run-%06d", rapid.IntRange(1, jobs-1).Draw(t, "needs"))}
+				}
+				c.takeJob(spec.UID, ledger.Entry{Job: &ledger.Job{Spec: spec, Status: wire.JobQueued, Per: 8, AtMs: now.UnixMilli()}, Stamp: 1})
+			},
+			"place": func(t *rapid.T) {
+				m, j := machine(), (*job)(nil)
+				for i := range jobs {
+					if known := c.jobs[fmt.Sprintf("run-%06d", i+1)]; known != nil && known.waiting() > 0 {
+						j = known
+					}
+				}
+				if j == nil || m == nil {
+					return
+				}
+				for _, leg := range j.pick(1) {
+					p := j.piece(leg)
+					a := &fleet.Attempt{UID: j.uid, Task: leg, Try: p.next, Need: j.need, Image: j.rec.Spec.Rollout}
+					p.next++
+					p.live[leg] = a
+					j.live++
+					c.fleet.Place(m, a, now)
+					c.fleet.Commit(a, now)
+				}
+			},
+			"stop": func(t *rapid.T) {
+				if m := machine(); m != nil {
+					m.Each(func(a *fleet.Attempt) { c.stop(a, 0, now, "test") })
+				}
+			},
+			"archive": func(t *rapid.T) {
+				if j := c.jobs[fmt.Sprintf("run-%06d", rapid.IntRange(1, max(1, jobs)).Draw(t, "job"))]; j != nil {
+					c.takeJob(j.uid, ledger.Entry{Stamp: ^uint64(0)})
+				}
+			},
+			"list": func(t *rapid.T) {
+				hosts := []wire.ListedHost{{UID: "m-0", Rig: "g8", Yard: "a", Status: wire.HostFailed}, {UID: "m-6", Rig: "g8", Yard: "b", AgeS: 5, Status: "booting"}}
+				c.listed(hosts[rapid.IntRange(0, 1).Draw(t, "from"):], now)
+			},
+			"price": func(t *rapid.T) {
+				c.cat.Rigs[0].LowPrice++
+				c.fleet.Each(c.fleet.Touch)
+			},
+			"return": func(t *rapid.T) {
+				if m := machine(); m != nil && rapid.IntRange(0, 3).Draw(t, "rare") == 0 {
+					c.startReturn(m, now, "test")
+					c.fleet.Confirm(m, now, "test")
+					c.fleet.Forget(m.ID)
+				}
+			},
+			"round": func(t *rapid.T) { c.round(time.Second) },
+			"time":  func(t *rapid.T) { now = now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "seconds")) * time.Second) },
+		}
+		names := slices.Sorted(maps.Keys(actions))
+		for range 150 {
+			name := rapid.SampledFrom(names).Draw(t, "action")
+			actions[name](t)
+			check(name)
+		}
+		if c.nodes.missed > 0 {
+			t.Fatalf("%d machines had changed and nobody had told", c.nodes.missed)
+		}
+	})
+}
--- a/internal/controller/picture.go
+++ b/internal/controller/picture.go
@@ -11,56 +11,78 @@
 	"lotusstile.dev/lotusstile/wire"
 )
 
-// picture is what a round decides on, and what its handles stand for.
+// picture is what a round decides on.
 type picture struct {
-	in       *sched.Input
-	machines []*fleet.Machine // by node; nil for a rental that is not answered yet
-	victims  []*fleet.Attempt // by victim
+	in *sched.Input
+	c  *Controller
+}
+
+// machine is the machine that a node of the round stands for; nil for a rental that is not
+// answered yet.
+func (p *picture) machine(node int) *fleet.Machine {
+	if node >= p.in.View.Len() {
+		return nil
+	}
+	return p.c.fleet.Get(p.in.View.ID(node))
+}
+
+// victim is the attempt that a round stops; nil if there is none.
+func (p *picture) victim(s sched.Stop) (found *fleet.Attempt) {
+	if m := p.machine(s.Node); m != nil {
+		m.Each(func(a *fleet.Attempt) {
+			if a.Serial == s.ID {
+				found = a
+			}
+		})
+	}
+	return found
 }
 
 // picture makes the picture of a round.
 func (c *Controller) picture(now time.Time, interval time.Duration) *picture {
-	p := &picture{in: &sched.Input{Window: c.window, ReserveS: 10 * interval.Seconds(), Priorities: sched.DefaultPriorities, Teams: map[string]*sched.Team{}}}
+	c.refreshNodes(now)
+	in := &sched.Input{Now: now, View: c.nodes.view, Window: c.window, ReserveS: 10 * interval.Seconds(), Priorities: sched.DefaultPriorities, Teams: map[string]*sched.Team{}}
 	for _, t := range c.Config.Cluster.Teams {
 		team := &sched.Team{}
 		team.Limit.Cores, team.Limit.Gpus = t.CpusMax, t.GpusMax
-		p.in.Teams[t.Name] = team
+		in.Teams[t.Name] = team
 	}
-	top := 0
+	in.VictimsBelow = 1 // nothing is displaced while nothing waits
 	for _, j := range c.jobs {
-		if t := p.in.Teams[j.rec.Spec.Crew]; t != nil {
+		if t := in.Teams[j.rec.Spec.Crew]; t != nil {
 			t.Used.Cores += float64(j.live) * j.need.Cores
 			t.Used.Gpus += float64(j.live) * j.need.Gpus
 		}
 		if sj := c.waitingJob(j, now); sj != nil {
-			top = max(top, sj.Level)
+			in.VictimsBelow = max(in.VictimsBelow, sj.Level)
 			if c.overdueToBegin(j, now) {
 				// It begins; the rest of its tasks wait their turn.
 				first := *sj
 				first.First, first.Waiting = true, 1
-				p.in.Jobs = append(p.in.Jobs, &first)
+				in.Jobs = append(in.Jobs, &first)
 				if sj.Waiting--; sj.Waiting == 0 {
 					continue
 				}
 			}
-			p.in.Jobs = append(p.in.Jobs, sj)
+			in.Jobs = append(in.Jobs, sj)
 		}
 	}
-	size := c.fleet.Size()
-	for _, r := range c.pending {
-		size += r.req.HowMany
-	}
-	p.in.Nodes, p.machines = make([]sched.Node, 0, size), make([]*fleet.Machine, 0, size)
-	c.fleet.Each(func(m *fleet.Machine) { c.addNode(p, m, top, now) })
+	in.Nodes = c.rentalNodes()
+	return &picture{in, c}
+}
+
+// rentalNodes is what is rented and not answered yet, as a round sees it.
+func (c *Controller) rentalNodes() []sched.Node {
+	var nodes []sched.Node
 	for _, r := range c.pending {
 		room := provision.Cap(c.machineType(r.req.Rig))
+		n := sched.Node{ID: r.req.Booking, Type: r.req.Rig, Zone: r.req.Yard, Spot: r.req.Standby,
+			Cap: room, Later: room, Price: c.price(r.req.Rig, r.req.Standby)}
 		for range r.req.HowMany {
-			p.in.Nodes = append(p.in.Nodes, sched.Node{ID: r.req.Booking, Type: r.req.Rig, Zone: r.req.Yard, Spot: r.req.Standby,
-				Cap: room, Later: room, Price: c.price(r.req.Rig, r.req.Standby)})
-			p.machines = append(p.machines, nil)
+			nodes = append(nodes, n)
 		}
 	}
-	return p
+	return nodes
 }
 
 // waitingJob is a job as a round sees it, or nil if nothing of it can be placed
@@ -133,59 +155,6 @@
 		usual != nil && float64(s.Legs*s.Legs) >= usual.legs2
 }
 
-// addNode adds a machine as a round sees it, if it takes launches now or soon.
-// top is the highest level that waits.
-func (c *Controller) addNode(p *picture, m *fleet.Machine, top int, now time.Time) {
-	n := sched.Node{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Cap: m.Cap, Price: c.price(m.Type, m.Spot)}
-	switch {
-	case m.Takes(now) && m.Orphans() == 0:
-		n.Free, n.Soon, n.Cache = m.Free(), m.Free(), m
-		n.Leaving = !m.Spot && !c.spareMachines[m.ID]
-		m.Each(func(a *fleet.Attempt) {
-			j := c.jobs[a.UID]
-			if !a.Live() {
-				return
-			}
-			if j != nil && !j.rec.Spec.Standby {
-				n.Leaving, n.Fixed = false, true
-			}
-			switch {
-			case a.Stopping || a.State == fleet.Saving:
-				n.Soon = n.Soon.Add(a.Need)
-			case j != nil && j.level < top && (a.State == fleet.Running || a.State == fleet.Fetching):
-				v := victim(j, a, now)
-				v.ID = len(p.victims)
-				n.Victims = append(n.Victims, v)
-				p.victims = append(p.victims, a)
-			}
-		})
-		n.Later = n.Soon
-	case c.comes(m, now):
-		n.Later = m.Free()
-	default:
-		return
-	}
-	p.in.Nodes = append(p.in.Nodes, n)
-	p.machines = append(p.machines, m)
-}
-
-// victim is an attempt as one that work of a higher level may displace. A
-// replica that has not run yet serves nobody: it can be displaced like batch,
-// and loses what it has fetched.
-func victim(j *job, a *fleet.Attempt, now time.Time) sched.Victim {
-	v := sched.Victim{Level: j.level, Need: a.Need}
-	switch serves := j.rec.Spec.Shape == wire.Standing; {
-	case !a.RunAt.IsZero():
-		v.Serve, v.Loss = serves, now.Sub(a.RunAt).Seconds()
-		if mark := j.rec.Spec.MarkS; mark > 0 {
-			v.Loss = min(v.Loss, j.rec.Spec.StowS)
-		}
-	case serves:
-		v.Loss = now.Sub(a.Since).Seconds()
-	}
-	return v
-}
-
 // avoids names the machine that a job failed on lately. A job that failed on
 // several machines is at fault itself. If it went on avoiding machines, new
 // ones would be rented for it.
@@ -286,19 +255,3 @@
 	}
 	return slack
 }
-
-// comes reports whether a machine is expected to take launches soon. One that
-// boots for much longer than usual is no longer counted on.
-func (c *Controller) comes(m *fleet.Machine, now time.Time) bool {
-	if m.Warned || m.Failed || m.Cap.Cores == 0 {
-		return false
-	}
-	switch m.State {
-	case fleet.Confirming:
-		return !now.Before(m.AvoidUntil)
-	case fleet.Booting:
-		r := c.machineType(m.Type)
-		return r != nil && now.Sub(m.Born).Seconds() < 1.7*r.BootS+2*c.Config.Cluster.Workers.ReportS
-	}
-	return false
-}
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -50,6 +50,7 @@
 			for _, h := range hosts {
 				m := c.fleet.Know(h, now)
 				m.Type, m.Zone, m.Spot = r.req.Rig, r.req.Yard, r.req.Standby
+				c.fleet.Touch(m)
 				c.capacity(m)
 			}
 			c.mu.Unlock()
@@ -91,6 +92,7 @@
 				c.mu.Lock()
 				c.cat = &cat
 				c.fleet.Each(c.capacity)
+				c.fleet.Each(c.fleet.Touch) // prices
 				c.mu.Unlock()
 			}
 		}
@@ -126,10 +128,11 @@
 			if born := asked.Add(-time.Duration(h.AgeS * float64(time.Second))); born.Before(m.Born) {
 				m.Born = born
 			}
+			c.fleet.Touch(m)
 			c.capacity(m)
 		}
 		if h.Status == wire.HostFailed {
-			m.Failed = true
+			c.failed(m)
 		}
 	}
 	c.fleet.Each(func(m *fleet.Machine) {
@@ -137,10 +140,18 @@
 		// old, but not older than a machine that was listed long ago.
 		// The same goes for one that has been known for that long and never was.
 		if !seen[m.ID] && now.Sub(m.Born) > 4*c.Config.ListLag()+c.Config.Lease() && now.Sub(m.Heard) > 2*c.Config.ReportEvery() {
-			m.Failed = true
+			c.failed(m)
 		}
 		if ret := c.returns[m.ID]; ret != nil && m.State == fleet.Gone && seen[m.ID] {
 			ret.goneAt = now // still listed: keep its record
 		}
 	})
 }
+
+// failed notes that a machine has stopped on its own.
+func (c *Controller) failed(m *fleet.Machine) {
+	if !m.Failed {
+		m.Failed = true
+		c.fleet.Touch(m)
+	}
+}
--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -68,10 +68,13 @@
 		c.window = min(most, c.window*2)
 	}
 	c.window = min(c.window, most)
-	info.Started = c.start(plan, p.machines, now)
+	info.Started = c.start(plan, p, now)
 	info.Stopped = len(plan.Stops)
 	for _, s := range plan.Stops {
-		a := p.victims[s.ID]
+		a := p.victim(s)
+		if a == nil {
+			continue
+		}
 		leeway := 0.0
 		if v := c.jobs[a.UID].rec.Spec; v.MarkS > 0 && v.StowS < s.SlackS {
 			leeway = v.StowS + c.Config.Cluster.Workers.ReportS
@@ -98,10 +101,10 @@
 // written counts against it: pieces of withdrawn jobs are not written again, and
 // those called off at the end of an outage kept 400 other jobs waiting, with nothing
 // placed for 12 s. What a piece that is to be written anyway takes on costs nothing.
-func (c *Controller) start(plan *sched.Plan, machines []*fleet.Machine, now time.Time) int {
+func (c *Controller) start(plan *sched.Plan, picture *picture, now time.Time) int {
 	budget := max(1, int(c.Config.StateLimits().WriteRps))
 	for _, j := range c.jobs {
-		if j.rec.Status.Final() {
+		if j.dirtyPieces == 0 || j.rec.Status.Final() {
 			continue
 		}
 		for _, p := range j.pieces {
@@ -113,7 +116,7 @@
 	started := 0
 	for _, pl := range plan.Places {
 		j := c.jobs[pl.Job.Spec.UID]
-		m := machines[pl.Node]
+		m := picture.machine(pl.Node)
 		if m == nil || budget <= 0 && !j.writes(now) {
 			continue
 		}
--- /dev/null
+++ b/internal/controller/size_test.go
@@ -0,0 +1,192 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/config"
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/internal/store"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// limited is a state service that takes what its limits allow.
+type limited struct {
+	Store
+	t        *testing.T
+	limits   config.StateLimits
+	epoch    uint64
+	items    map[string]wire.Item
+	returned map[string]bool
+}
+
+func (l *limited) List(_ context.Context, under string) ([]wire.Item, uint64, error) {
+	var rows []wire.Item
+	for _, key := range slices.Sorted(maps.Keys(l.items)) {
+		if strings.HasPrefix(key, under) {
+			rows = append(rows, l.items[key])
+		}
+	}
+	return rows, l.epoch, nil
+}
+
+func (l *limited) Commit(_ context.Context, tx wire.Commit) (uint64, error) {
+	tooLarge := len(tx.Apply) > l.limits.TxnOps || len(tx.Guards) > 4*l.limits.TxnOps || len(ledger.Encode(tx)) > wire.MaxBody
+	for _, c := range tx.Apply {
+		tooLarge = tooLarge || float64(len(c.Value)) > l.limits.ValueKb*1024
+	}
+	if tooLarge {
+		l.t.Errorf("a commit of %d changes and %d guards is rejected", len(tx.Apply), len(tx.Guards))
+		return 0, &store.RejectedError{}
+	}
+	l.epoch++
+	for _, c := range tx.Apply {
+		if c.Drop != "" {
+			delete(l.items, c.Drop)
+		} else {
+			l.items[c.Set] = wire.Item{Key: c.Set, Value: c.Value, Stamp: l.epoch}
+		}
+	}
+	return l.epoch, nil
+}
+
+// limitedCloud is a cloud that takes back no more machines at once than it allows.
+type limitedCloud struct {
+	Cloud
+	*limited
+}
+
+func (l limitedCloud) List(context.Context) ([]wire.ListedHost, error) { return nil, nil }
+
+func (l limitedCloud) Return(_ context.Context, hosts []string) error {
+	if len(hosts) > wire.MaxReturn {
+		l.t.Errorf("%d machines are returned at once", len(hosts))
+	}
+	for _, host := range hosts {
+		l.returned[host] = true
+	}
+	return nil
+}
+
+// leaderOf is a leader of a term beside the services.
+func (l *limited) leaderOf(term uint64, now *time.Time) *Controller {
+	c := watched(now)
+	c.term, c.Store, c.Cloud, c.loaded = term, l, limitedCloud{limited: l}, false
+	c.fleet = fleet.New(term, c.Config.Lease(), c)
+	c.Rounded, c.Heard = func(time.Duration) {}, func() []string { return nil }
+	c.Config.Cluster.State, c.Config.Cluster.Teams = l.limits, []config.Team{{Name: "crew"}}
+	c.cat = &wire.Catalog{Rigs: []wire.Rig{{Sku: "g8", Cores: 64, Gpus: 8, RAMGb: 512, BootS: 30, Yards: []string{"a", "b"}}}}
+	c.Mirror.Reset(nil, 1, *now)
+	if err := c.load(context.Background()); err != nil {
+		l.t.Fatal(err)
+	}
+	return c
+}
+
+// A fleet of 4,096 and of 6,000 machines is listed, reports, gets a task on each machine within
+// the limits of the state service, has all its images recorded, is taken over by the next
+// leader with every attempt, and is returned to the last machine.
+func TestLargeFleetFromListToReturn(t *testing.T) {
+	for _, machines := range []int{4096, 6000} {
+		now := time.Unix(10_000, 0)
+		services := &limited{t: t, limits: config.StateLimits{Rps: 900, WriteRps: 350, ValueKb: 8, TxnOps: 24}, items: map[string]wire.Item{}, returned: map[string]bool{}}
+		c := services.leaderOf(5, &now)
+		spec := wire.Work{UID: "run-000001", Berth: "batch", Crew: "crew", Shape: wire.Sweep, Rank: wire.High, Legs: machines, Cores: 64, Gpus: 8, RAMGb: 512, Rollout: "img"}
+		rec := ledger.Job{Spec: spec, Status: wire.JobQueued, Per: ledger.LegsPerPiece(8192, 8192)}
+		services.items[ledger.JobKey(spec.UID)] = wire.Item{Key: ledger.JobKey(spec.UID), Value: ledger.Encode(rec), Stamp: 1}
+		c.takeJob(spec.UID, ledger.Entry{Job: &rec, Stamp: 1})
+		var hosts []wire.ListedHost
+		for i := range machines {
+			hosts = append(hosts, wire.ListedHost{UID: fmt.Sprintf("m-%06d", i), Rig: "g8", Yard: []string{"a", "b"}[i%2], Status: "running"})
+		}
+		c.listed(hosts, now)
+		report := func(c *Controller, tick uint64) (launches int) {
+			for i := range hosts {
+				r := wire.Report{Host: hosts[i].UID, Rig: "g8", Yard: hosts[i].Yard, Shift: 1, Tick: tick, Baton: c.term}
+				c.fleet.Get(r.Host).Each(func(a *fleet.Attempt) {
+					if a.State != fleet.Planned && a.State != fleet.Committed || a.Inherited {
+						r.Legs = append(r.Legs, wire.LegReport{Leg: a.Name(), Try: a.Try, Status: wire.LegRunning})
+					}
+				})
+				o, _ := c.CheckIn(t.Context(), &r, CheckInOptions{})
+				launches += len(o.Orders)
+			}
+			return launches
+		}
+		report(c, 1)
+		launches, tick := 0, uint64(1)
+		for ; launches < machines && tick < 20; tick++ {
+			now = now.Add(time.Second)
+			c.round(time.Second)
+			for b := c.collect(); b != nil; b = c.collect() {
+				c.commit(t.Context(), b)
+			}
+			launches += report(c, tick+1)
+		}
+		report(c, tick+1)
+		if j := c.jobs[spec.UID]; launches != machines || j.running() != machines {
+			t.Fatalf("%d machines: %d launches, %d running", machines, launches, j.running())
+		}
+		now = now.Add(time.Minute)
+		for range machines/services.limits.TxnOps + 1 {
+			c.noteSomeImages(t.Context())
+		}
+		if images, _, _ := services.List(t.Context(), ledger.ImagesPrefix); len(images) != machines {
+			t.Errorf("the images of %d of %d machines are recorded", len(images), machines)
+		}
+		next := services.leaderOf(6, &now)
+		next.takeJob(spec.UID, ledger.Entry{Job: &rec, Stamp: 1})
+		next.loaded = false
+		if err := next.load(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if j := next.jobs[spec.UID]; j.live != machines || next.fleet.Len() != machines {
+			t.Fatalf("the next leader knows %d attempts on %d machines", j.live, next.fleet.Len())
+		}
+		report(next, tick+2)
+		next.fleet.Each(func(m *fleet.Machine) {
+			if m.State != fleet.Ready || m.LiveCount() != 1 {
+				t.Fatalf("%s is %s with %d attempts", m.ID, m.State, m.LiveCount())
+			}
+			next.startReturn(m, now, "test")
+		})
+		for next.recordReturns(t.Context()) {
+		}
+		for next.sendReturns(t.Context()) {
+		}
+		if len(services.returned) != machines || next.fleet.Len() != 0 {
+			t.Errorf("%d of %d machines are returned, %d are left", len(services.returned), machines, next.fleet.Len())
+		}
+	}
+}
+
+// Of more jobs than are told at once, a follower learns the counts of all, ping by ping.
+func TestCountsOfManyJobs(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := watched(&now)
+	const jobs = 3*countsAtOnce + 1
+	for i := range jobs {
+		uid := fmt.Sprintf("run-%06d", i)
+		c.takeJob(uid, ledger.Entry{Job: &ledger.Job{Spec: wire.Work{UID: uid, Legs: 1}, Status: wire.JobQueued, Per: 1}, Stamp: 1})
+		c.countsChanged(c.jobs[uid])
+	}
+	told, revision := map[string]bool{}, uint64(0)
+	for pings, more := 0, true; more; pings++ {
+		var views []wire.JobView
+		if views, revision, more = c.CountsSince(revision); len(views) > countsAtOnce || pings > jobs/countsAtOnce {
+			t.Fatalf("%d counts by ping %d", len(views), pings)
+		}
+		for _, v := range views {
+			told[v.UID] = true
+		}
+	}
+	if len(told) != jobs || revision != c.countsRevision {
+		t.Errorf("%d of %d counts are told, up to %d of %d", len(told), jobs, revision, c.countsRevision)
+	}
+}
--- a/internal/controller/spare.go
+++ b/internal/controller/spare.go
@@ -72,23 +72,7 @@
 // provision rents for what has no room and marks idle machines for return.
 func (c *Controller) provision(p *picture, plan *sched.Plan, now time.Time) []*rental {
 	settled := now.Sub(c.steady) > c.Config.Lease()
-	spareIn := &sched.Input{Window: math.MaxInt, ReserveS: math.Inf(1), Jobs: c.spare(now), Teams: map[string]*sched.Team{}}
-	for name := range p.in.Teams {
-		spareIn.Teams[name] = &sched.Team{}
-	}
-	kept := map[string]bool{}
-	c.spareMachines = kept
-	spareIn.Nodes = make([]sched.Node, 0, len(p.in.Nodes))
-	for i, n := range p.in.Nodes {
-		n.Free, n.Soon, n.Later = plan.LeftSoon[i], plan.LeftSoon[i], plan.LeftLater[i]
-		spareIn.Nodes = append(spareIn.Nodes, n)
-	}
-	spare := sched.Run(spareIn)
-	for _, pl := range spare.Places {
-		if m := p.machines[pl.Node]; m != nil {
-			kept[m.ID] = true
-		}
-	}
+	spare := c.planSpare(p, plan, now)
 	// A new leader waits until the machines have reported before it decides
 	// that there are too few or too many.
 	if !settled && len(c.pending) == 0 && c.fleet.Len() > 0 && c.unheard() {
@@ -97,17 +81,47 @@
 	population := map[string]int{}
 	c.fleet.Each(func(m *fleet.Machine) { population[m.Zone]++ })
 	shorts := append(append([]sched.Short{}, plan.Shorts...), spare.Shorts...)
-	rents := provision.Rents(c.cat, shorts, population, func(g provision.Group) bool { return now.Before(c.refused[g].until) })
+	rents := provision.Rents(c.cat, provision.Demand{Shorts: shorts, Population: population, Calls: c.rentCalls(),
+		Refused: func(g provision.Group) bool { return now.Before(c.refused[g].until) }})
 	var out []*rental
 	for _, r := range rents {
 		out = append(out, c.book(r))
 	}
 	if settled {
-		c.idle(plan.Shorts, kept, now)
+		c.idle(plan.Shorts, now)
 	}
 	return out
 }
 
+// planSpare plans for the work that must start at once when it comes, with the room that a
+// round has left, and keeps the machines that it would use.
+func (c *Controller) planSpare(p *picture, plan *sched.Plan, now time.Time) *sched.Plan {
+	in := &sched.Input{Now: now, View: p.in.View, Nodes: p.in.Nodes, After: plan, VictimsBelow: p.in.VictimsBelow,
+		Window: math.MaxInt, ReserveS: math.Inf(1), Jobs: c.spare(now), Teams: map[string]*sched.Team{}}
+	for name := range p.in.Teams {
+		in.Teams[name] = &sched.Team{}
+	}
+	spare, kept := &sched.Plan{}, map[string]bool{}
+	if len(in.Jobs) > 0 {
+		spare = sched.Run(in)
+	}
+	for _, place := range spare.Places {
+		if m := p.machine(place.Node); m != nil {
+			kept[m.ID] = true
+		}
+	}
+	c.keepAsSpare(kept)
+	return spare
+}
+
+// rentShare is the share of the cloud's calls of a round's interval that rentals may take.
+const rentShare = 0.25
+
+// rentCalls is how many rentals a round may ask for.
+func (c *Controller) rentCalls() int {
+	return int(rentShare * c.Config.Cluster.Cloud.Rps * c.Settings().IntervalS)
+}
+
 // unheard reports whether machines that may run tasks have not reported yet.
 func (c *Controller) unheard() bool {
 	found := false
@@ -121,7 +135,7 @@
 // not kept as spare room, the dearest first. A part of them at a time: the next
 // round sees what is left. It is a part and not a number, or what a large fleet
 // no longer needs stays for minutes: one machine a round left 250 of 450 idle.
-func (c *Controller) idle(shorts []sched.Short, kept map[string]bool, now time.Time) {
+func (c *Controller) idle(shorts []sched.Short, now time.Time) {
 	// Machines that what waits cannot use are returned even while work waits:
 	// else they could hold the last capacity that the cloud has, for ever.
 	wanted := func(m *fleet.Machine) bool {
@@ -132,7 +146,7 @@
 	var idle []*fleet.Machine
 	c.fleet.Each(func(m *fleet.Machine) {
 		r := c.machineType(m.Type)
-		if m.State != fleet.Ready || m.LiveCount() > 0 || kept[m.ID] || r == nil || wanted(m) {
+		if m.State != fleet.Ready || m.LiveCount() > 0 || c.spareMachines[m.ID] || r == nil || wanted(m) {
 			return
 		}
 		// A machine costs at least a minute; what comes back within a
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -167,6 +167,7 @@
 		for _, image := range v.Images {
 			m.Images[image] = now
 		}
+		c.fleet.Touch(m)
 		c.capacity(m)
 	}
 	for _, r := range p.Leader.Refusals {
@@ -207,6 +208,7 @@
 			}
 			if a := j.attempt(t.Task); a != nil && a.Try == t.Try {
 				a.RunAt = time.Unix(min(t.SinceS, now.Unix()), 0)
+				c.fleet.Touch(a.Machine)
 			}
 		}
 	}
--- a/internal/controller/writer.go
+++ b/internal/controller/writer.go
@@ -105,6 +105,9 @@
 
 // writes reports whether a piece of the job is to be written now.
 func (j *job) writes(now time.Time) bool {
+	if j.dirtyPieces == 0 {
+		return false
+	}
 	for _, p := range j.pieces {
 		if p.dirty && !p.unsure && !p.due.After(now) {
 			return true
@@ -282,7 +285,7 @@
 			c.fleet.Commit(a, now)
 		}
 		if w.p.seq == w.seq {
-			w.p.dirty = false
+			w.p.setDirty(false)
 		} else if len(w.p.planned()) == 0 {
 			w.p.due = now.Add(c.endsWait()) // only ends came meanwhile
 		}
@@ -341,7 +344,8 @@
 		if !found {
 			item.Stamp = 0
 		}
-		w.p.stamp, w.p.unsure, w.p.dirty = item.Stamp, false, true
+		w.p.stamp, w.p.unsure = item.Stamp, false
+		w.p.setDirty(true)
 		c.mu.Unlock()
 	}
 	for j := range jobs {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -63,6 +63,12 @@
 	return o.Cores <= r.Cores+slack && o.Gpus <= r.Gpus+slack && o.RAM <= r.RAM+slack
 }
 
+// HoldsOne reports whether Count is at least one: unlike for Holds, what o needs none of may be
+// overbooked.
+func (r Res) HoldsOne(o Res) bool {
+	return (o.Cores <= 0 || o.Cores <= r.Cores+slack) && (o.Gpus <= 0 || o.Gpus <= r.Gpus+slack) && (o.RAM <= 0 || o.RAM <= r.RAM+slack)
+}
+
 // Count is how many times o fits into r, at most limit.
 func (r Res) Count(o Res, limit int) int {
 	n := limit
@@ -87,6 +93,7 @@
 	UID          string
 	Task         int
 	Try          uint64
+	Serial       int    // tells the attempts of a term apart; set when it is placed
 	Session      uint64 // session of the machine that it was decided for
 	Need         Res
 	Image        string
@@ -214,6 +221,8 @@
 	lease    time.Duration
 	watcher  Watcher
 	machines map[string]*Machine
+	changed  map[string]struct{} // machines that may have changed since TakeChanged
+	serial   int                 // of the attempt that was placed last
 }
 
 // missedLaunchLimit is how many launches in a row a machine may fail to take before it
@@ -222,7 +231,19 @@
 
 // New makes an empty picture for a term.
 func New(term uint64, lease time.Duration, w Watcher) *Fleet {
-	return &Fleet{term: term, lease: lease, watcher: w, machines: map[string]*Machine{}}
+	return &Fleet{term: term, lease: lease, watcher: w, machines: map[string]*Machine{}, changed: map[string]struct{}{}}
+}
+
+// Touch notes that a machine, or an attempt on it, may have changed.
+func (f *Fleet) Touch(m *Machine) { f.changed[m.ID] = struct{}{} }
+
+// TakeChanged calls fn for every machine that may have changed since it was last called, with
+// nil for one that is no longer known.
+func (f *Fleet) TakeChanged(fn func(id string, m *Machine)) {
+	for id := range f.changed {
+		fn(id, f.machines[id])
+	}
+	clear(f.changed)
 }
 
 // Get finds a machine.
@@ -256,6 +277,7 @@
 		m = &Machine{ID: id, State: Booting, Heard: now, Reported: now, Since: now, Born: now, IdleAt: now,
 			attempts: map[attemptKey]*Attempt{}, Images: map[string]time.Time{}, Errors: map[string]time.Time{}}
 		f.machines[id] = m
+		f.Touch(m)
 		f.watcher.MachineChanged(m, Booting, "known")
 	}
 	return m
@@ -264,6 +286,7 @@
 // Forget drops a gone machine from the picture.
 func (f *Fleet) Forget(id string) {
 	if m := f.machines[id]; m != nil && m.State == Gone {
+		f.Touch(m)
 		delete(f.machines, id)
 	}
 }
@@ -275,6 +298,7 @@
 	}
 	from := m.State
 	m.State, m.Since = to, now
+	f.Touch(m)
 	f.watcher.MachineChanged(m, from, why)
 }
 
@@ -284,6 +308,7 @@
 		return
 	}
 	m := a.Machine
+	f.Touch(m)
 	from, wasLive := a.State, a.Live()
 	a.State, a.Since = to, now
 	if wasLive && !a.Live() {
@@ -301,7 +326,9 @@
 
 // Place adds an attempt: Planned by this term, or inherited from a record.
 func (f *Fleet) Place(m *Machine, a *Attempt, now time.Time) {
-	a.Machine, a.Since = m, now
+	f.serial++
+	a.Machine, a.Since, a.Serial = m, now, f.serial
+	f.Touch(m)
 	if a.Inherited {
 		a.State = Committed
 	} else {
@@ -339,6 +366,7 @@
 		return
 	}
 	if !a.Stopping || leewayS < a.LeewayS {
+		f.Touch(a.Machine)
 		a.Stopping, a.LeewayS = true, leewayS
 	}
 }
@@ -373,6 +401,7 @@
 	if m.State == Gone || r.Shift < m.Session || (r.Shift == m.Session && r.Tick <= m.Sequence) {
 		return m, false
 	}
+	f.Touch(m)
 	newSession := f.noteReport(m, r, now)
 	reported := reportedAttempts(m, r)
 	confirmed := r.Baton == f.term
--- a/internal/provision/provision.go
+++ b/internal/provision/provision.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -49,53 +50,128 @@
 	return false
 }
 
+// Demand is what is to be rented for, and what bounds it.
+type Demand struct {
+	Shorts     []sched.Short
+	Population map[string]int   // machines of each zone
+	Refused    func(Group) bool // groups that are passed over
+	// Calls is how many rentals may be asked for at once, of wire.MaxRent machines each at
+	// most. Every group gets one at least.
+	Calls int
+}
+
 // Rents decides what to rent for demand that no machine has room for, cheapest
-// for the room it brings first. population is how many machines each zone has;
-// refused groups are passed over.
-func Rents(cat *wire.Catalog, shorts []sched.Short, population map[string]int, refused func(Group) bool) []Rent {
-	var bins []bin
-	pop := map[string]int{}
-	for y, n := range population {
-		pop[y] = n
+// for the room it brings first.
+func Rents(cat *wire.Catalog, demand Demand) []Rent {
+	p := packing{cat: cat, population: maps.Clone(demand.Population), refused: demand.Refused}
+	if p.population == nil {
+		p.population = map[string]int{}
 	}
-	for _, s := range shorts {
-		need := fleet.Need(s.Job.Spec)
-		yards := map[string]int{}
-		for y, n := range s.Job.ByZone {
-			yards[y] = n
-		}
-		for left := s.Count; left > 0; {
-			if i := slices.IndexFunc(bins, func(b bin) bool {
-				return b.room.Holds(need) && sched.Allowed(s.Job.Spec, b.group.Type, b.group.Zone, b.group.Spot) && yardOK(s.Job, yards, b.group.Zone)
-			}); i >= 0 {
-				bins[i].room = bins[i].room.Sub(need)
-				yards[bins[i].group.Zone]++
-				left--
-				continue
-			}
-			g, room, ok := cheapest(cat, s.Job, yards, left, pop, refused)
-			if !ok {
-				break
-			}
-			bins = append(bins, bin{g, room})
-			pop[g.Zone]++
-		}
+	p.least = leastNeed(demand.Shorts)
+	for _, s := range demand.Shorts {
+		p.pack(s)
 	}
 	counts := map[Group]int{}
-	for _, b := range bins {
+	for _, b := range p.bins {
 		counts[b.group]++
 	}
 	rents := make([]Rent, 0, len(counts))
 	for g, n := range counts {
-		rents = append(rents, Rent{g, min(n, wire.MaxRent)})
+		rents = append(rents, Rent{g, n})
 	}
 	slices.SortFunc(rents, func(a, b Rent) int {
-		return cmp.Or(cmp.Compare(a.Type, b.Type), cmp.Compare(a.Zone, b.Zone), cmp.Compare(b.Count, a.Count))
+		return cmp.Or(cmp.Compare(a.Type, b.Type), cmp.Compare(a.Zone, b.Zone), cmp.Compare(b2i(b.Spot), b2i(a.Spot)))
 	})
+	return inCalls(rents, demand.Calls)
+}
+
+// inCalls splits rents into as many as the cloud takes in one call each: one of each group
+// first, and what is left of the calls in turn. What no call is left for waits for the next
+// round.
+func inCalls(wanted []Rent, calls int) []Rent {
+	var rents []Rent
+	left := len(wanted)
+	for first := true; left > 0 && (first || len(rents) < calls); first = false {
+		left = 0
+		for i := range wanted {
+			n := min(wanted[i].Count, wire.MaxRent)
+			if n == 0 || !first && len(rents) >= calls {
+				continue
+			}
+			rents = append(rents, Rent{wanted[i].Group, n})
+			wanted[i].Count -= n
+			left += wanted[i].Count
+		}
+	}
 	return rents
 }
 
-func yardOK(j *sched.Job, yards map[string]int, yard string) bool {
+// packing fits what is short into machines that would be rented.
+type packing struct {
+	cat        *wire.Catalog
+	population map[string]int
+	refused    func(Group) bool
+	least      fleet.Res // nothing that is short needs less of anything
+	bins       []bin
+	open       []int // bins that have room for the least
+}
+
+// leastNeed is the least of each resource that any task that is short needs.
+func leastNeed(shorts []sched.Short) fleet.Res {
+	least := fleet.Res{Cores: math.Inf(1), Gpus: math.Inf(1), RAM: math.Inf(1)}
+	for _, s := range shorts {
+		n := fleet.Need(s.Job.Spec)
+		least = fleet.Res{Cores: min(least.Cores, n.Cores), Gpus: min(least.Gpus, n.Gpus), RAM: min(least.RAM, n.RAM)}
+	}
+	return least
+}
+
+// pack finds room for what a job is short of, in machines of the packing or new ones. Bins
+// that are full are passed over for good: at thousands of tasks, looking at each bin for each
+// task took longer than a round may.
+func (p *packing) pack(s sched.Short) {
+	need := fleet.Need(s.Job.Spec)
+	zones := maps.Clone(s.Job.ByZone)
+	if zones == nil {
+		zones = map[string]int{}
+	}
+	left := s.Count
+	p.open = slices.DeleteFunc(p.open, func(i int) bool {
+		b := &p.bins[i]
+		for left > 0 && b.room.Holds(need) && sched.Allowed(s.Job.Spec, b.group.Type, b.group.Zone, b.group.Spot) && zoneOK(s.Job, zones, b.group.Zone) {
+			b.room = b.room.Sub(need)
+			zones[b.group.Zone]++
+			left--
+		}
+		return !b.room.Holds(p.least)
+	})
+	for left > 0 {
+		g, room, ok := cheapest(p.cat, s.Job, zones, left, p.population, p.refused)
+		if !ok {
+			return
+		}
+		b := bin{g, room}
+		for left > 0 && b.room.Holds(need) && zoneOK(s.Job, zones, g.Zone) {
+			b.room = b.room.Sub(need)
+			zones[g.Zone]++
+			left--
+		}
+		if b.room.Holds(p.least) {
+			p.open = append(p.open, len(p.bins))
+		}
+		p.bins = append(p.bins, b)
+		p.population[g.Zone]++
+	}
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func zoneOK(j *sched.Job, yards map[string]int, yard string) bool {
 	if j.Spec.Scatter && yards[yard] >= (j.Spec.Legs+1)/2 {
 		return false
 	}
@@ -122,7 +198,7 @@
 			continue
 		}
 		for _, y := range r.Yards {
-			if !yardOK(j, yards, y) {
+			if !zoneOK(j, yards, y) {
 				continue
 			}
 			for _, standby := range []bool{true, false} {
--- /dev/null
+++ b/internal/provision/provision_test.go
@@ -0,0 +1,48 @@
+package provision
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/sched"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// What a lost fleet of 4,096 and of 6,000 machines ran is rented for within some rounds, each in
+// calls that the cloud takes and no more than are allowed, and deciding what takes no second:
+// with a look at every machine of the packing for each task it took several.
+func TestLostFleetIsRentedAgain(t *testing.T) {
+	cat := &wire.Catalog{Rigs: []wire.Rig{{Sku: "g8", Cores: 96, Gpus: 8, RAMGb: 576, Hourly: 20, LowPrice: 5, Yards: []string{"a", "b", "c", "d"}}}}
+	for _, machines := range []int{4096, 6000} {
+		var shorts []sched.Short
+		for i := range machines {
+			w := &wire.Work{UID: fmt.Sprintf("run-%06d", i), Legs: 8, Cores: float64(8 + i%5), Gpus: 1, RAMGb: 40}
+			shorts = append(shorts, sched.Short{Job: &sched.Job{Spec: w}, Count: 8})
+		}
+		const calls = 10
+		population, rented, began := map[string]int{}, 0, time.Now()
+		for rounds := 0; len(shorts) > 0; rounds++ {
+			if rounds > machines/(calls*wire.MaxRent)+2 {
+				t.Fatalf("after %d rounds %d machines are rented", rounds, rented)
+			}
+			rents := Rents(cat, Demand{Shorts: shorts, Population: population, Refused: func(Group) bool { return false }, Calls: calls})
+			if len(rents) > calls {
+				t.Fatalf("%d calls in a round", len(rents))
+			}
+			brought := 0
+			for _, r := range rents {
+				if r.Count < 1 || r.Count > wire.MaxRent {
+					t.Fatalf("%d machines in a call", r.Count)
+				}
+				population[r.Zone] += r.Count
+				brought += r.Count
+			}
+			rented += brought
+			shorts = shorts[min(brought, len(shorts)):]
+		}
+		if took := time.Since(began); rented < machines || took > 4*time.Second {
+			t.Errorf("%d machines for %d in %s", rented, machines, took)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sched/bounds.go
@@ -0,0 +1,61 @@
+package sched
+
+import (
+	"strings"
+
+	"lotusstile.dev/lotusstile/internal/fleet"
+)
+
+// displaced stands for the room that a job finds by displacing others.
+const displaced = layers
+
+// bound names a kind of job and a layer. Room only shrinks in a round, but for
+// what is stopped: of a kind that fitted so many times, no more fit later.
+type bound struct {
+	layer          layer
+	level          int // of a job that displaces
+	need           fleet.Res
+	types, zone    string
+	spot           bool
+	overdue, tired bool
+	dear           bool
+	image          string // if only nodes that have it will do
+}
+
+// consider prepares the round for a job: which kinds of machines it may use, and what kind
+// of job it is itself.
+func (r *round) consider(j *Job) {
+	m := r.memory
+	m.allowed = resized(m.allowed, len(r.kinds))
+	for i := range r.kinds {
+		m.allowed[i] = mayUse(j, &r.kinds[i])
+	}
+	s := j.Spec
+	r.job = j
+	r.holders = r.view.images[s.Rollout]
+	r.imageKnown = r.holders != nil || len(r.in.Nodes) > 0
+	r.bounded = !s.Together && !s.Scatter && j.Avoid == ""
+	r.jobBound = bound{need: fleet.Need(s), types: strings.Join(s.Rigs, " "), zone: s.Yard, spot: s.Standby, overdue: j.Overdue, tired: j.Tired, dear: j.Dear}
+}
+
+// boundIn names the kind of the job that is looked at, in a layer.
+func (r *round) boundIn(l layer) bound {
+	b := r.jobBound
+	b.layer = l
+	if r.warm {
+		b.image = r.job.Spec.Rollout
+	}
+	if l == displaced {
+		b.level = r.job.Level
+	}
+	return b
+}
+
+// foundNoRoom reports whether a job of the same kind has found no room for this one.
+func (r *round) foundNoRoom(j *Job, b bound) bool {
+	if !r.bounded {
+		return false
+	}
+	most, known := r.bounds[b]
+	return known && (most == 0 || whole(j) && most < j.Waiting)
+}
--- a/internal/sched/large_test.go
+++ b/internal/sched/large_test.go
@@ -3,18 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 
 	"lotusstile.dev/lotusstile/internal/fleet"
 	"lotusstile.dev/lotusstile/wire"
 )
 
-type cache []string
-
-func (c cache) Has(image string) bool { return slices.Contains(c, image) }
-func (c cache) Pulling() int          { return 0 }
-
 // large makes the picture of a fleet that is mostly full.
 func large(machines, waiting int) *Input {
 	r := rand.New(rand.NewPCG(1, 1))
@@ -31,7 +25,7 @@
 		}
 		n.Free = caps.Sub(fleet.Res{Cores: 8 * float64(used), Gpus: float64(used), RAM: 40 * float64(used)})
 		n.Soon, n.Later = n.Free, n.Free
-		n.Cache = cache{fmt.Sprint(r.IntN(20)), fmt.Sprint(r.IntN(20))}
+		n.Present, n.Images = true, []string{fmt.Sprint(r.IntN(20)), fmt.Sprint(r.IntN(20))}
 		for range used {
 			n.Victims = append(n.Victims, Victim{ID: i*8 + len(n.Victims), Level: 1 + r.IntN(3), Need: fleet.Res{Cores: 8, Gpus: 1, RAM: 40}, Loss: 20, Serve: r.IntN(2) == 0})
 		}
@@ -47,18 +41,39 @@
 	return in
 }
 
+// viewOf puts nodes into a view.
+func viewOf(nodes []Node) *View {
+	view := NewView()
+	for i := range nodes {
+		view.Put(&nodes[i])
+	}
+	return view
+}
+
+// One round over classes of machines that are kept, and the same round as it was before, over
+// all machines anew.
 func BenchmarkRound(b *testing.B) {
-	for _, machines := range []int{1070, 3360} {
+	for _, machines := range []int{340, 1350, 4000, 6000} {
 		for _, waiting := range []int{5, 50, 500} {
-			b.Run(fmt.Sprintf("machines=%d/waiting=%d", machines, waiting), func(b *testing.B) {
-				b.ReportAllocs()
-				for range b.N {
-					b.StopTimer()
-					in := large(machines, waiting)
-					b.StartTimer()
-					Run(in)
-				}
-			})
+			for _, kept := range []bool{true, false} {
+				b.Run(fmt.Sprintf("machines=%d/waiting=%d/kept=%v", machines, waiting, kept), func(b *testing.B) {
+					b.ReportAllocs()
+					view := viewOf(large(machines, 0).Nodes)
+					for range b.N {
+						b.StopTimer()
+						in := large(machines, waiting)
+						if kept {
+							in.View, in.Nodes = view, nil
+						}
+						b.StartTimer()
+						if kept {
+							Run(in)
+						} else {
+							refRun(in)
+						}
+					}
+				})
+			}
 		}
 	}
 }
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"lotusstile.dev/lotusstile/internal/fleet"
@@ -9,26 +10,30 @@
 
 // choice is room for one task on a node once some of its victims are stopped.
 type choice struct {
-	node     int
+	node     int32
 	from, to int // its victims are among these
 	loss     float64
 }
 
+// before orders choices: what loses least goes first.
+func (c *choice) before(o *choice) bool {
+	return cmp.Or(cmp.Compare(c.loss, o.loss), cmp.Compare(c.node, o.node), cmp.Compare(c.from, o.from)) < 0
+}
+
 // preempt stops work of lower levels so that up to want tasks of j fit, and
 // keeps the room for them. It never stops work for nothing: a job that starts
 // whole gets all its room or none. Replicas are only displaced for a job that
 // waited as long as a new machine takes.
 func (r *round) preempt(j *Job, want int) int {
-	if r.lowest >= j.Level {
+	if r.lowest >= r.displacesBelow(j) {
 		return 0
 	}
-	b, bounded := r.bound(j, displaced)
-	if most, ok := r.bounds[b]; bounded && ok && (most == 0 || whole(j) && most < j.Waiting) {
+	b := r.boundIn(displaced)
+	if r.foundNoRoom(j, b) {
 		return 0
 	}
-	choices := r.displacements(j, want)
-	places, chosen := r.leastHarm(j, want, choices)
-	if bounded && len(places) < want {
+	places, chosen := r.leastHarm(j, want, r.displacements(j, want))
+	if r.bounded && len(places) < want {
 		r.bounds[b] = len(places)
 	}
 	if len(places) == 0 || (whole(j) && len(places) < j.Waiting) {
@@ -39,64 +44,154 @@
 	return len(places)
 }
 
+// displacesBelow is the level below which a job may displace work.
+func (r *round) displacesBelow(j *Job) int {
+	if most := r.in.VictimsBelow; most > 0 {
+		return min(j.Level, most)
+	}
+	return j.Level
+}
+
 // mayDisplace reports whether a job may displace running work.
-func mayDisplace(j *Job, v *Victim) bool { return v.Level < j.Level && (!v.Serve || j.Overdue) }
+func (r *round) mayDisplace(j *Job, v *Victim) bool {
+	return v.Level < r.displacesBelow(j) && (!v.Serve || j.Overdue)
+}
 
-// displacements lists, by node, the room that there is for tasks of a job, and that there
-// would be if work that it may displace were stopped, what loses least first.
+// displaceable is what jobs of one level may displace on each node: how much room that
+// gives, and the least that any of it loses. With that, most nodes need no closer look.
+type displaceable struct {
+	below   int
+	overdue bool
+	gain    []fleet.Res
+	loss    []float64
+}
+
+// displaceableBy finds or makes what a job may displace.
+func (r *round) displaceableBy(j *Job) *displaceable {
+	below, m := r.displacesBelow(j), r.memory
+	for i := range m.displaced {
+		if d := &m.displaced[i]; d.below == below && d.overdue == j.Overdue {
+			return d
+		}
+	}
+	// A list that an earlier round has made is used again.
+	if len(m.displaced) < cap(m.displaced) {
+		m.displaced = m.displaced[:len(m.displaced)+1]
+	} else {
+		m.displaced = append(m.displaced, displaceable{})
+	}
+	d := &m.displaced[len(m.displaced)-1]
+	d.below, d.overdue = below, j.Overdue
+	d.gain, d.loss = resized(d.gain, len(m.kind)), resized(d.loss, len(m.kind))
+	for slot := range m.kind {
+		d.sum(r, int32(slot))
+	}
+	return d
+}
+
+// sum adds up what may be displaced on a node.
+func (d *displaceable) sum(r *round, slot int32) {
+	gain, loss := fleet.Res{}, math.Inf(1)
+	victims := r.running(slot)
+	for i := range victims {
+		v := &victims[i]
+		if v.Level < d.below && (!v.Serve || d.overdue) {
+			gain = gain.Add(v.Need)
+			loss = min(loss, v.lossAt(r.in.Now)+1)
+		}
+	}
+	d.gain[slot], d.loss[slot] = gain, loss
+}
+
+// running lists the victims of a node that are not stopped yet, in any order.
+func (r *round) running(slot int32) []Victim {
+	if sorted, known := r.victims[slot]; known {
+		return sorted
+	}
+	if kept := int32(r.view.Len()); slot >= kept {
+		return r.in.Nodes[slot-kept].Victims
+	}
+	return r.view.nodes[slot].victims
+}
+
+// leastLost gives the victims of a node in the order in which they are stopped.
+func (r *round) leastLost(slot int32) []Victim {
+	sorted, known := r.victims[slot]
+	if !known {
+		now := r.in.Now
+		sorted = slices.Clone(r.running(slot))
+		slices.SortFunc(sorted, func(a, b Victim) int {
+			return cmp.Or(cmp.Compare(a.Level, b.Level), cmp.Compare(a.lossAt(now), b.lossAt(now)), cmp.Compare(a.ID, b.ID))
+		})
+		r.victims[slot] = sorted
+	}
+	return sorted
+}
+
+// displacements lists room that there is for tasks of a job, and that there would be if work
+// that it may displace were stopped, what loses least first on each node. If the job's tasks
+// may be in any zone, no more than it wants are listed: those with the least loss.
 func (r *round) displacements(j *Job, want int) []choice {
-	need := fleet.Need(j.Spec)
-	choices := r.choicesBuffer[:0]
-	for i, victims := range r.leastLost() {
-		if !r.couldHold(j, need, i, victims) || !r.usable(j, i, "") {
+	need, d, m := fleet.Need(j.Spec), r.displaceableBy(j), r.memory
+	most := math.MaxInt
+	if !j.Spec.Together && !j.Spec.Scatter {
+		most = want
+	}
+	worst := newHeap(m.choices[:0], func(a, b *choice) bool { return b.before(a) })
+	add := func(c choice) {
+		switch {
+		case worst.Len() < most:
+			worst.Push(c)
+		case c.before(worst.Least()):
+			worst.Replace(c)
+		}
+	}
+	for slot := range m.kind {
+		room := r.room[soon][slot]
+		if !room.Add(d.gain[slot]).Holds(need) {
 			continue
 		}
-		room := r.room[soon][i]
-		for range room.Count(need, want) {
-			choices = append(choices, choice{node: i})
-			room = room.Sub(need)
+		if worst.Len() >= most && d.loss[slot] >= worst.Least().loss && !room.HoldsOne(need) {
+			continue // all that it offers loses as much, and it is later in order
 		}
-		c := choice{node: i}
-		for k := range victims {
-			v := &victims[k]
-			if !mayDisplace(j, v) {
-				continue
-			}
-			room = room.Add(v.Need)
-			c.to = k + 1
-			c.loss += v.Loss + 1
-			if room.Holds(need) {
-				choices = append(choices, c)
-				c = choice{node: i, from: c.to}
-				room = room.Sub(need)
-			}
+		if r.vacant(slot) || !r.usable(j, int32(slot)) {
+			continue
 		}
+		r.offers(j, int32(slot), need, want, add)
 	}
-	r.choicesBuffer = choices
-	return choices
+	m.choices = worst.items
+	return worst.items
 }
 
-// couldHold reports whether a node holds a task of a job once all that it may displace is
-// stopped.
-func (r *round) couldHold(j *Job, need fleet.Res, node int, victims []Victim) bool {
-	gain := r.room[soon][node]
-	if gain.Holds(need) {
-		return true
+// offers gives the room on a node for tasks of a job, one by one.
+func (r *round) offers(j *Job, slot int32, need fleet.Res, want int, add func(c choice)) {
+	room := r.room[soon][slot]
+	for range room.Count(need, want) {
+		add(choice{node: slot})
+		room = room.Sub(need)
 	}
+	victims := r.leastLost(slot)
+	c := choice{node: slot}
 	for k := range victims {
-		if mayDisplace(j, &victims[k]) {
-			gain = gain.Add(victims[k].Need)
+		v := &victims[k]
+		if !r.mayDisplace(j, v) {
+			continue
+		}
+		room = room.Add(v.Need)
+		c.to = k + 1
+		c.loss += v.lossAt(r.in.Now) + 1
+		if room.Holds(need) {
+			add(c)
+			c = choice{node: slot, from: c.to}
+			room = room.Sub(need)
 		}
 	}
-	return gain.Holds(need)
 }
 
 // leastHarm takes the choices with the least loss that the job's zones allow, for up to want
 // tasks.
 func (r *round) leastHarm(j *Job, want int, choices []choice) (places []Place, chosen []choice) {
-	order := least[choice]{items: choices, cmp: func(a, b choice) int {
-		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.node, b.node))
-	}}
+	order := newHeap(choices, (*choice).before)
 	zone := ""
 	for z, n := range j.ByZone {
 		if j.Spec.Together && n > 0 {
@@ -104,20 +199,18 @@
 		}
 	}
 	taken := map[string]int{}
-	for c := range order.all() {
-		z := r.in.Nodes[c.node].Zone
-		if (j.Spec.Together && zone != "" && z != zone) || yardCap(j, z)-taken[z] <= 0 {
+	for order.Len() > 0 && len(places) < want {
+		c := order.Pop()
+		z := r.zone(c.node)
+		if (j.Spec.Together && zone != "" && z != zone) || zoneRoom(j, z)-taken[z] <= 0 {
 			continue
 		}
 		if j.Spec.Together {
 			zone = z
 		}
 		taken[z]++
-		places = append(places, Place{j, c.node, 1})
+		places = append(places, Place{j, int(c.node), 1})
 		chosen = append(chosen, c)
-		if len(places) == want {
-			break
-		}
 	}
 	return places, chosen
 }
@@ -126,15 +219,30 @@
 func (r *round) stopVictims(j *Job, chosen []choice) {
 	stopped := map[int]bool{}
 	for _, c := range chosen {
-		for _, v := range r.victims[c.node][c.from:c.to] {
-			if mayDisplace(j, &v) {
+		victims := r.victims[c.node]
+		for k := c.from; k < c.to; k++ {
+			if v := &victims[k]; r.mayDisplace(j, v) {
 				stopped[v.ID] = true
-				r.plan.Stops = append(r.plan.Stops, Stop{v.ID, j.SlackS})
+				r.plan.Stops = append(r.plan.Stops, Stop{int(c.node), v.ID, j.SlackS})
 				r.grow(c.node, v.Need)
 			}
 		}
 	}
 	for _, c := range chosen {
+		if c.to == 0 {
+			continue
+		}
 		r.victims[c.node] = slices.DeleteFunc(r.victims[c.node], func(v Victim) bool { return stopped[v.ID] })
+		for i := range r.memory.displaced {
+			r.memory.displaced[i].sum(r, c.node)
+		}
 	}
 }
+
+// grow gives a node the room of a task that is stopped, once it has ended.
+func (r *round) grow(slot int32, room fleet.Res) {
+	clear(r.bounds)
+	r.room[soon][slot] = r.room[soon][slot].Add(room)
+	r.room[later][slot] = r.room[later][slot].Add(room)
+	r.move(slot)
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -10,8 +10,10 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
+	"time"
+
+	"github.com/bits-and-blooms/bitset"
 
 	"lotusstile.dev/lotusstile/internal/fleet"
 	"lotusstile.dev/lotusstile/wire"
@@ -27,26 +29,31 @@
 	Free    fleet.Res // usable now; zero for a machine that takes no launches
 	Soon    fleet.Res // usable once what is being stopped has ended
 	Later   fleet.Res // usable once it is up
-	Cache   Cache     // nil for a machine that is not there yet
-	Victims []Victim  // running work that may be stopped
+	Present bool      // it is there: it has images, or fetches them
+	Images  []string  // images that it has or fetches
+	Pulling int       // images that it fetches now; they share its rate
+	Victims []Victim  // running work that may be stopped, in any order
 	Price   float64   // per hour; 0 if unknown
 	Leaving bool      // will be returned unless work that may not use spot machines needs it
 	Fixed   bool      // stays for work that may not use spot machines
 }
 
-// Cache tells which images a machine has or fetches.
-type Cache interface {
-	Has(image string) bool
-	Pulling() int // images it fetches now; they share its rate
-}
-
 // Victim is a task that a job of a higher level may displace.
 type Victim struct {
 	ID    int // the caller's handle
-	Level int
+	Level int // below maxLevels
 	Need  fleet.Res
-	Loss  float64 // seconds of work lost if it is stopped
-	Serve bool    // a replica: stopping it is felt at once
+	Loss  float64   // seconds of work lost if it is stopped; the most, if Since is set
+	Since time.Time // if set, the loss grows from then on
+	Serve bool      // a replica: stopping it is felt at once
+}
+
+// lossAt is how many seconds of work are lost if a victim is stopped.
+func (v *Victim) lossAt(now time.Time) float64 {
+	if v.Since.IsZero() {
+		return v.Loss
+	}
+	return min(now.Sub(v.Since).Seconds(), v.Loss)
 }
 
 // Job is a job with tasks that wait.
@@ -73,14 +80,21 @@
 	Used, Limit struct{ Cores, Gpus float64 }
 }
 
-// Input is the picture of one round.
+// Input is the picture of one round. Its nodes are the machines of View, by slot, and then
+// Nodes.
 type Input struct {
-	Nodes      []Node
+	Now        time.Time
+	View       *View  // machines that are kept from round to round; nil if there are none
+	Nodes      []Node // of this round only
 	Jobs       []*Job // in any order
 	Teams      map[string]*Team
 	Window     int
 	ReserveS   float64 // a top job that waited longer than this gets a reservation
 	Priorities [5]float64
+	After      *Plan // if set, the round begins with the room that this plan has left
+	// VictimsBelow: work of this level or above is not displaced by any job; 0 leaves it to
+	// the levels of the jobs.
+	VictimsBelow int
 }
 
 // Place puts Count tasks of a job on a node.
@@ -92,6 +106,7 @@
 
 // Stop is a victim and how long the job that displaces it can wait for it.
 type Stop struct {
+	Node   int
 	ID     int
 	SlackS float64
 }
@@ -144,44 +159,46 @@
 	layers
 )
 
+// round is one round at work.
 type round struct {
-	in       *Input
-	plan     *Plan
-	room     [layers][]fleet.Res
-	open     [layers]openNodes
-	victims  [][]Victim    // by node, the least lost first; nil until one is needed
-	lowest   int           // level of the least victim
-	least    fleet.Res     // no task of the window needs less of anything
-	bounds   map[bound]int // how many tasks at most fit, of kinds that were tried
-	reserved []bool        // nodes kept for the job that has a reservation
-	warm     bool          // only nodes that have the job's image
-
-	// What a job is offered, in memory that the next job uses again: made anew for each
-	// job, these lists were nearly all that a leader of 2,700 machines allocated.
-	optionsBuffer []option
-	choicesBuffer []choice
+	in          *Input
+	view        *View
+	memory      *memory
+	plan        *Plan
+	kinds       []kind
+	room        [layers][]fleet.Res
+	openClasses [layers][]int32    // classes that had room for the least task when they were made
+	least       fleet.Res          // no task of the window needs less of anything
+	lowest      int                // level of the least victim
+	victims     map[int32][]Victim // by node, the least lost first: those that were asked for
+	bounds      map[bound]int      // how many tasks at most fit, of kinds of jobs that were tried
+	warm        bool               // only nodes that have the job's image
+	holders     *bitset.BitSet     // slots that have the image of the job that the round looks at
+	imageKnown  bool               // some node may have that image
+	job         *Job               // that the round looks at
+	jobBound    bound              // the kind of that job
+	bounded     bool               // what fits of that job depends on its kind only
 }
 
 // Run does one round.
 func Run(in *Input) *Plan {
-	r := &round{in: in, plan: &Plan{}, lowest: math.MaxInt, bounds: map[bound]int{}, reserved: make([]bool, len(in.Nodes))}
-	for l := range r.room {
-		r.room[l] = make([]fleet.Res, len(in.Nodes))
-	}
-	for i := range in.Nodes {
-		n := &in.Nodes[i]
-		r.room[now][i], r.room[soon][i], r.room[later][i] = n.Free, n.Soon, n.Later
-		for _, v := range n.Victims {
-			r.lowest = min(r.lowest, v.Level)
-		}
+	r := &round{in: in, view: in.View, plan: &Plan{}, bounds: map[bound]int{}, victims: map[int32][]Victim{}}
+	if r.view == nil {
+		r.view = NewView()
+	}
+	if in.After == nil { // the slots of a plan are those of its round
+		r.view.prepare()
 	}
+	r.takeNodes()
 	window := slices.Clone(in.Jobs)
 	Order(window, 4*in.ReserveS)
 	if len(window) > in.Window {
 		window = window[:in.Window]
 	}
 	r.plan.Window = len(window)
-	r.index(window)
+	if len(window) > 0 {
+		r.makeClasses(leastNeed(window))
+	}
 	// GPU work first, CPU-only work on what is left; one that waited long
 	// keeps its turn.
 	cpuOnly := func(j *Job) bool { return j.Spec.Gpus == 0 && j.WaitedS <= in.ReserveS }
@@ -191,7 +208,7 @@
 			if cpuOnly(j) != (pass == 1) {
 				continue
 			}
-			r.job(j, top)
+			r.place(j, top)
 			top = false
 		}
 	}
@@ -199,12 +216,23 @@
 	return r.plan
 }
 
-// job starts what fits of j, and plans for the rest.
-func (r *round) job(j *Job, top bool) {
+// leastNeed is the least of each resource that any job's tasks need.
+func leastNeed(window []*Job) fleet.Res {
+	least := fleet.Need(window[0].Spec)
+	for _, j := range window[1:] {
+		n := fleet.Need(j.Spec)
+		least = fleet.Res{Cores: min(least.Cores, n.Cores), Gpus: min(least.Gpus, n.Gpus), RAM: min(least.RAM, n.RAM)}
+	}
+	return least
+}
+
+// place starts what fits of j, and plans for the rest.
+func (r *round) place(j *Job, top bool) {
 	want := r.quota(j)
 	if want == 0 {
 		return
 	}
+	r.consider(j)
 	left := want
 	if j.Fetch {
 		// Its start would be late on a machine without its image: machines
@@ -270,21 +298,12 @@
 	return (len(w.Rigs) == 0 || slices.Contains(w.Rigs, rig)) && (w.Yard == "" || w.Yard == yard) && (!standby || w.Standby)
 }
 
-type option struct {
-	node    int
-	count   int
-	image   bool
-	pulling int
-	price   float64
-	spare   float64
-}
-
 // fit finds room for up to want tasks of j in a layer and takes it. With start
 // set the tasks are launched; otherwise the room is only kept for them.
 func (r *round) fit(j *Job, want int, l layer, start bool) int {
-	b, bounded := r.bound(j, l)
-	if most, ok := r.bounds[b]; bounded && ok && (most == 0 || whole(j) && most < j.Waiting) {
-		return 0 // one of its like has found no room
+	b := r.boundIn(l)
+	if r.foundNoRoom(j, b) {
+		return 0
 	}
 	var places []Place
 	if j.Spec.Together {
@@ -293,7 +312,7 @@
 		places = r.choose(j, want, l, "")
 	}
 	n := count(places)
-	if bounded && n < want {
+	if r.bounded && n < want {
 		r.bounds[b] = n
 	}
 	if n == 0 || (whole(j) && n < j.Waiting) {
@@ -314,14 +333,14 @@
 // together tries each zone and takes the one that holds most, on the fewest
 // machines. A job that has tasks in a zone stays there.
 func (r *round) together(j *Job, want int, l layer) []Place {
-	for yard, n := range j.ByZone {
+	for zone, n := range j.ByZone {
 		if n > 0 {
-			return r.choose(j, want, l, yard)
+			return r.choose(j, want, l, zone)
 		}
 	}
 	var best []Place
-	for _, yard := range r.yards() {
-		p := r.choose(j, want, l, yard)
+	for _, zone := range r.zones() {
+		p := r.choose(j, want, l, zone)
 		if count(p) > count(best) || (count(p) == count(best) && len(p) < len(best)) {
 			best = p
 		}
@@ -329,122 +348,60 @@
 	return best
 }
 
-func (r *round) yards() []string {
-	var yards []string
-	for i := range r.in.Nodes {
-		if y := r.in.Nodes[i].Zone; !slices.Contains(yards, y) {
-			yards = append(yards, y)
+func (r *round) zones() []string {
+	var zones []string
+	for i := range r.kinds {
+		if z := r.kinds[i].zone; !slices.Contains(zones, z) {
+			zones = append(zones, z)
 		}
 	}
-	slices.Sort(yards)
-	return yards
+	slices.Sort(zones)
+	return zones
 }
 
-// yardCap is how many more tasks of j each zone may hold.
-func yardCap(j *Job, yard string) int {
+// zoneRoom is how many more tasks of j each zone may hold.
+func zoneRoom(j *Job, zone string) int {
 	if !j.Spec.Scatter {
 		return j.Spec.Legs
 	}
-	return (j.Spec.Legs+1)/2 - j.ByZone[yard]
+	return (j.Spec.Legs+1)/2 - j.ByZone[zone]
+}
+
+// mayUse reports whether a job may use machines of a kind.
+func mayUse(j *Job, k *kind) bool {
+	if !k.spot && !k.fixed && j.Spec.Standby && !j.Dear && (!j.Overdue || k.leaving && !j.Tired) {
+		return false
+	}
+	return Allowed(j.Spec, k.machineType, k.zone, k.spot)
 }
 
-func (r *round) usable(j *Job, i int, yard string) bool {
-	n := &r.in.Nodes[i]
-	if !n.Spot && !n.Fixed && j.Spec.Standby && !j.Dear && (!j.Overdue || n.Leaving && !j.Tired) || r.warm && (n.Cache == nil || !n.Cache.Has(j.Spec.Rollout)) {
+// usable reports whether a job may use a node, whatever room it has.
+func (r *round) usable(j *Job, slot int32) bool {
+	m := r.memory
+	if !m.allowed[m.kind[slot]] || m.reserved[slot] || r.avoided(j, slot) {
 		return false
 	}
-	return !r.reserved[i] && (yard == "" || n.Zone == yard) &&
-		Allowed(j.Spec, n.Type, n.Zone, n.Spot) && (j.Avoid == "" || n.ID != j.Avoid)
+	return !r.warm || r.kinds[m.kind[slot]].present && r.has(slot)
 }
 
 // taskPrice is what a task's share of the machine costs.
-func taskPrice(n *Node, need fleet.Res) float64 {
+func taskPrice(k *kind, need fleet.Res) float64 {
 	share := 0.0
-	for _, p := range [...][2]float64{{need.Cores, n.Cap.Cores}, {need.Gpus, n.Cap.Gpus}, {need.RAM, n.Cap.RAM}} {
+	for _, p := range [...][2]float64{{need.Cores, k.capacity.Cores}, {need.Gpus, k.capacity.Gpus}, {need.RAM, k.capacity.RAM}} {
 		if p[1] > 0 {
 			share = max(share, p[0]/p[1])
 		}
 	}
-	return n.Price * share
+	return k.price * share
 }
 
 // price is what placing a task there costs: nothing for work that may be stopped
 // and fills the gaps of a machine that stays anyway.
-func (r *round) price(j *Job, n *Node) float64 {
-	if j.Spec.Standby && n.Fixed {
+func (r *round) price(j *Job, k *kind, need fleet.Res) float64 {
+	if j.Spec.Standby && k.fixed {
 		return 0
 	}
-	return taskPrice(n, fleet.Need(j.Spec))
-}
-
-// options lists where tasks of j fit, at most want on each node. The list is good until
-// the next call.
-func (r *round) options(j *Job, want int, l layer, yard string) []option {
-	need := fleet.Need(j.Spec)
-	opts := r.optionsBuffer[:0]
-	for _, i := range r.candidates(l) {
-		free := r.room[l][i]
-		c := free.Count(need, want)
-		if c == 0 || !r.usable(j, i, yard) {
-			continue
-		}
-		n := &r.in.Nodes[i]
-		spare := free.Gpus - float64(c)*need.Gpus + (free.Cores-float64(c)*need.Cores)/max(n.Cap.Cores, 1)
-		if need.Gpus == 0 {
-			spare = free.Gpus
-		}
-		o := option{node: i, count: c, price: r.price(j, n), spare: spare}
-		if n.Cache != nil {
-			o.image, o.pulling = n.Cache.Has(j.Spec.Rollout), n.Cache.Pulling()
-		}
-		opts = append(opts, o)
-	}
-	r.optionsBuffer = opts
-	return opts
-}
-
-// better orders options: the cheapest for the task first, then those that have
-// the image, then those that need the fewest machines, then the tightest fit. The
-// image goes first where its fetch alone would make the start late. CPU-only
-// work goes where the fewest GPUs are free.
-func (r *round) better(j *Job) func(a, b option) int {
-	return func(a, b option) int {
-		na, nb := &r.in.Nodes[a.node], &r.in.Nodes[b.node]
-		price, image := cmp.Compare(a.price, b.price), cmp.Compare(b2i(b.image), b2i(a.image))
-		if j.Fetch {
-			price, image = image, price
-		}
-		pulls := 0
-		if image == 0 && !a.image {
-			pulls = cmp.Compare(a.pulling, b.pulling)
-		}
-		stays, count, spare := cmp.Compare(b2i(nb.Fixed), b2i(na.Fixed)), cmp.Compare(b.count, a.count), cmp.Compare(a.spare, b.spare)
-		last := cmp.Or(cmp.Compare(na.ID, nb.ID), cmp.Compare(a.node, b.node))
-		if j.Fetch || j.Spec.Standby {
-			return cmp.Or(price, image, pulls, count, spare, last)
-		}
-		return cmp.Or(price, count, stays, spare, image, pulls, last)
-	}
-}
-
-// choose picks nodes for up to want tasks, the best first.
-func (r *round) choose(j *Job, want int, l layer, yard string) []Place {
-	order := least[option]{items: r.options(j, want, l, yard), cmp: r.better(j)}
-	var places []Place
-	taken := map[string]int{}
-	for o := range order.all() {
-		y := r.in.Nodes[o.node].Zone
-		c := min(o.count, want, yardCap(j, y)-taken[y])
-		if c <= 0 {
-			continue
-		}
-		places = append(places, Place{j, o.node, c})
-		taken[y] += c
-		if want -= c; want == 0 {
-			break
-		}
-	}
-	return places
+	return taskPrice(k, need)
 }
 
 func b2i(b bool) int {
@@ -460,13 +417,14 @@
 	need := fleet.Need(j.Spec)
 	n := 0
 	for _, p := range places {
-		for range p.Count {
-			for l := range r.room {
+		for l := range r.room {
+			for range p.Count {
 				r.room[l][p.Node] = r.room[l][p.Node].Sub(need)
 			}
 		}
+		r.move(int32(p.Node))
 		n += p.Count
-		j.ByZone[r.in.Nodes[p.Node].Zone] += p.Count
+		j.ByZone[r.zone(int32(p.Node))] += p.Count
 	}
 	j.Live += n
 	j.Waiting -= n
@@ -475,7 +433,8 @@
 	t.Used.Gpus += float64(n) * need.Gpus
 	if start {
 		r.plan.Places = append(r.plan.Places, places...)
-		c := float64(len(places)) / float64(2*max(1, len(r.in.Nodes)))
+		machines := r.view.Machines() + len(r.in.Nodes)
+		c := float64(len(places)) / float64(2*max(1, machines))
 		r.plan.Objective += r.in.Priorities[j.Level] * (1 - c)
 	}
 }
@@ -484,33 +443,41 @@
 // whole capacity would hold it. Later jobs start only elsewhere.
 func (r *round) reserve(j *Job, want int) {
 	need := fleet.Need(j.Spec)
-	var nodes []int
-	for i := range r.in.Nodes {
-		if r.usable(j, i, "") && r.in.Nodes[i].Cap.Count(need, 1) > 0 {
-			nodes = append(nodes, i)
+	var nodes []int32
+	for slot := range r.memory.kind {
+		if r.vacant(slot) || !r.usable(j, int32(slot)) {
+			continue
+		}
+		if r.kinds[r.memory.kind[slot]].capacity.Count(need, 1) > 0 {
+			nodes = append(nodes, int32(slot))
 		}
 	}
-	slices.SortFunc(nodes, func(a, b int) int {
-		return cmp.Or(cmp.Compare(r.room[soon][b].Gpus, r.room[soon][a].Gpus), cmp.Compare(r.room[soon][b].Cores, r.room[soon][a].Cores), cmp.Compare(a, b))
+	roomier := newHeap(nodes, func(a, b *int32) bool {
+		x, y := r.room[soon][*a], r.room[soon][*b]
+		return cmp.Or(cmp.Compare(y.Gpus, x.Gpus), cmp.Compare(y.Cores, x.Cores), cmp.Compare(*a, *b)) < 0
 	})
 	taken := map[string]int{}
-	yard := ""
-	for _, i := range nodes {
-		if want <= 0 {
-			break
-		}
-		y := r.in.Nodes[i].Zone
-		if j.Spec.Together && yard != "" && y != yard {
+	zone := ""
+	for want > 0 && roomier.Len() > 0 {
+		slot := roomier.Pop()
+		z := r.zone(slot)
+		if j.Spec.Together && zone != "" && z != zone {
 			continue
 		}
-		c := min(r.in.Nodes[i].Cap.Count(need, want), yardCap(j, y)-taken[y])
+		c := min(r.kinds[r.memory.kind[slot]].capacity.Count(need, want), zoneRoom(j, z)-taken[z])
 		if c <= 0 {
 			continue
 		}
-		yard = y
-		taken[y] += c
+		zone = z
+		taken[z] += c
 		want -= c
-		r.reserved[i] = true
+		r.memory.reserved[slot] = true
+		r.move(slot)
 	}
 	r.plan.Reserved = j.Spec.UID
 }
+
+// vacant reports whether there is no machine in a slot.
+func (r *round) vacant(slot int) bool {
+	return slot < r.view.Len() && r.view.nodes[slot].id == ""
+}
--- /dev/null
+++ b/internal/sched/view_test.go
@@ -0,0 +1,177 @@
+package sched
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+var testNow = time.Unix(10_000, 0)
+
+// genNode draws a machine: few different amounts, so that many are alike, and some that are
+// overbooked.
+func genNode(t *rapid.T, id string, victims *int) Node {
+	size := rapid.SampledFrom([]fleet.Res{{Cores: 16, Gpus: 4, RAM: 100}, {Cores: 8, Gpus: 0, RAM: 60}}).Draw(t, "size")
+	n := Node{ID: id, Type: fmt.Sprint("t", size.Gpus), Zone: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone"), Spot: rapid.Bool().Draw(t, "spot"), Cap: size,
+		Fixed: rapid.IntRange(0, 3).Draw(t, "fixed") == 0, Price: size.Cores}
+	n.Leaving = !n.Fixed && rapid.Bool().Draw(t, "leaving")
+	n.Later = size
+	if rapid.IntRange(0, 5).Draw(t, "absent") == 0 {
+		return n
+	}
+	n.Present, n.Pulling = true, rapid.IntRange(0, 1).Draw(t, "pulling")
+	n.Images = slices.Compact(slices.Sorted(slices.Values(rapid.SliceOfN(rapid.SampledFrom([]string{"i", "j", "k"}), 0, 2).Draw(t, "images"))))
+	n.Free = size
+	for range rapid.IntRange(0, 5).Draw(t, "tasks") {
+		*victims++
+		v := Victim{ID: *victims, Level: rapid.IntRange(1, 4).Draw(t, "level"), Need: fleet.Res{Cores: float64(rapid.IntRange(1, 4).Draw(t, "cores")), Gpus: size.Gpus / 4, RAM: 10},
+			Loss: float64(rapid.IntRange(0, 3).Draw(t, "loss")), Serve: rapid.Bool().Draw(t, "serve")}
+		if rapid.Bool().Draw(t, "grows") {
+			v.Since = testNow.Add(-time.Duration(rapid.IntRange(0, 3).Draw(t, "since")) * time.Second)
+		}
+		n.Free = n.Free.Sub(v.Need)
+		n.Victims = append(n.Victims, v)
+	}
+	n.Soon = n.Free
+	if rapid.Bool().Draw(t, "ending") {
+		n.Soon = n.Soon.Add(fleet.Res{Cores: 2, Gpus: 1, RAM: 10})
+	}
+	n.Later = n.Soon
+	return n
+}
+
+func genJobs(t *rapid.T) []*Job {
+	var jobs []*Job
+	for i := range rapid.IntRange(0, 12).Draw(t, "jobs") {
+		w := &wire.Work{UID: fmt.Sprintf("run-%06d", i), Crew: "crew", Legs: rapid.IntRange(1, 6).Draw(t, "legs"), Cores: float64(rapid.IntRange(1, 4).Draw(t, "cores")),
+			Gpus: float64(rapid.IntRange(0, 2).Draw(t, "gpus")), RAMGb: 10, Shape: rapid.SampledFrom([]wire.Shape{wire.Sweep, wire.Standing}).Draw(t, "shape"),
+			Standby: rapid.Bool().Draw(t, "spot"), Together: rapid.IntRange(0, 4).Draw(t, "together") == 0, Scatter: rapid.IntRange(0, 4).Draw(t, "scatter") == 0,
+			Rollout: rapid.SampledFrom([]string{"i", "j", "l"}).Draw(t, "image")}
+		if rapid.IntRange(0, 4).Draw(t, "picky") == 0 {
+			w.Rigs, w.Yard = []string{"t4"}, "b"
+		}
+		j := &Job{Spec: w, Level: rapid.IntRange(1, 4).Draw(t, "level"), AtMs: int64(i), Waiting: w.Legs, ByZone: map[string]int{}, WaitedS: float64(rapid.SampledFrom([]int{0, 40}).Draw(t, "waited")),
+			Fetch: rapid.Bool().Draw(t, "fetch"), Overdue: rapid.Bool().Draw(t, "overdue"), Tired: rapid.Bool().Draw(t, "tired"), Dear: rapid.Bool().Draw(t, "dear")}
+		if rapid.IntRange(0, 4).Draw(t, "avoids") == 0 {
+			j.Avoid = "m-005"
+		}
+		if rapid.IntRange(0, 4).Draw(t, "runs") == 0 {
+			j.Live, j.ByZone["b"] = 1, 1
+		}
+		jobs = append(jobs, j)
+	}
+	return jobs
+}
+
+// forBoth is an input for one of the two rounds that are compared: rounds change jobs and teams.
+func forBoth(in Input, limit float64) *Input {
+	var jobs []*Job
+	for _, j := range in.Jobs {
+		next := *j
+		next.ByZone = maps.Clone(j.ByZone)
+		jobs = append(jobs, &next)
+	}
+	in.Jobs, in.Teams = jobs, map[string]*Team{"crew": {}}
+	in.Teams["crew"].Limit.Gpus = limit
+	return &in
+}
+
+// described is a plan in terms of IDs.
+func described(plan *Plan, id func(node int) string) string {
+	out := fmt.Sprintf("reserved %q, objective %.9f, window %d\n", plan.Reserved, plan.Objective, plan.Window)
+	for _, p := range plan.Places {
+		out += fmt.Sprintf("%s on %s: %d\n", p.Job.Spec.UID, id(p.Node), p.Count)
+	}
+	for _, s := range plan.Stops {
+		out += fmt.Sprintf("stop %d on %s\n", s.ID, id(s.Node))
+	}
+	for _, s := range plan.Shorts {
+		out += fmt.Sprintf("%s is short of %d\n", s.Job.Spec.UID, s.Count)
+	}
+	return out
+}
+
+// Rounds over classes of machines that are kept from round to round choose what a round chose
+// that looked at every machine anew: over fleets that change by single machines, with other
+// nodes beside, and in a second round over what the first has left.
+func TestClassesChooseAsBefore(t *testing.T) {
+	rounds, placed, stopped := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		view, fleetNow, victims := NewView(), map[string]Node{}, 0
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			for range rapid.IntRange(1, 5).Draw(t, "changes") {
+				id := fmt.Sprintf("m-%03d", rapid.IntRange(0, 12).Draw(t, "machine"))
+				if rapid.IntRange(0, 5).Draw(t, "gone") == 0 {
+					view.Drop(id)
+					delete(fleetNow, id)
+					continue
+				}
+				n := genNode(t, id, &victims)
+				view.Put(&n)
+				fleetNow[id] = n
+			}
+			in := Input{Now: testNow, Jobs: genJobs(t), Window: rapid.SampledFrom([]int{3, 200}).Draw(t, "window"), ReserveS: 30, Priorities: DefaultPriorities}
+			for i := range rapid.IntRange(0, 2).Draw(t, "rentals") {
+				n := genNode(t, fmt.Sprintf("rental-%d", i), &victims)
+				in.Nodes = append(in.Nodes, n)
+			}
+			limit := float64(rapid.SampledFrom([]int{0, 0, 5}).Draw(t, "limit"))
+			after := compare(t, view, in, fleetNow, limit, nil)
+			rounds, placed, stopped = rounds+1, placed+len(after.Places), stopped+len(after.Stops)
+			in.Jobs = genJobs(t)
+			compare(t, view, in, fleetNow, limit, after)
+		}
+	})
+	if placed < rounds/2 || stopped < rounds/20 {
+		t.Errorf("%d rounds placed %d times and stopped %d victims", rounds, placed, stopped)
+	}
+}
+
+// compare lets both rounds decide and returns the plan of the one over classes.
+func compare(t *rapid.T, view *View, in Input, machines map[string]Node, limit float64, after *Plan) *Plan {
+	in.View, in.After = view, after
+	plan := Run(forBoth(in, limit))
+	id := func(node int) string {
+		if node < view.Len() {
+			return view.ID(node)
+		}
+		return in.Nodes[node-view.Len()].ID
+	}
+	reference := in
+	reference.View, reference.After, reference.Nodes = nil, nil, nil
+	slotOf := map[string]int{}
+	for node := range view.Len() + len(in.Nodes) {
+		slotOf[id(node)] = node
+	}
+	for _, name := range slices.Sorted(maps.Keys(machines)) {
+		reference.Nodes = append(reference.Nodes, machines[name])
+	}
+	reference.Nodes = append(reference.Nodes, in.Nodes...)
+	if after != nil {
+		reference.Nodes = slices.Clone(reference.Nodes)
+		for i := range reference.Nodes {
+			n := &reference.Nodes[i]
+			slot := slotOf[n.ID]
+			n.Free, n.Soon, n.Later = after.LeftSoon[slot], after.LeftSoon[slot], after.LeftLater[slot]
+		}
+	}
+	want := refRun(forBoth(reference, limit))
+	wantText := described(want, func(node int) string { return reference.Nodes[node].ID })
+	if got := described(plan, id); got != wantText {
+		t.Fatalf("the round over classes:\n%s\nthe one over all machines:\n%s", got, wantText)
+	}
+	for i := range reference.Nodes {
+		slot := slotOf[reference.Nodes[i].ID]
+		if plan.LeftSoon[slot] != want.LeftSoon[i] || plan.LeftLater[slot] != want.LeftLater[i] {
+			t.Fatalf("%s has %v and %v left, not %v and %v", id(slot), plan.LeftSoon[slot], plan.LeftLater[slot], want.LeftSoon[i], want.LeftLater[i])
+		}
+	}
+	return plan
+}
