--- a/internal/standin/answers_test.go
+++ b/internal/standin/answers_test.go
@@ -43,7 +43,6 @@
 
 // inDay runs f in a day without faults, in which everything has come up.
 func inDay(t *testing.T, f func(d *day)) {
-	quiet(t)
 	synctest.Test(t, func(t *testing.T) {
 		d := newDay(t, 1)
 		d.w.AddMachines("g8", "a", 2)
@@ -63,6 +62,7 @@
 }
 
 func TestUsersAreAnswered(t *testing.T) {
+	t.Parallel()
 	inDay(t, func(d *day) {
 		const w = "/work"
 		d.expect(400, "n0", "POST", w, "nonsense")
@@ -112,6 +112,7 @@
 // A node that alone lost the state service passes its users on; when nobody
 // reaches it they are told at once when to come back.
 func TestUsersArePassedOn(t *testing.T) {
+	t.Parallel()
 	inDay(t, func(d *day) {
 		for i, fault := range []func(on bool){
 			func(on bool) { d.net.Refuse("n1", "state:1", on) },
@@ -146,6 +147,7 @@
 }
 
 func TestOperatorsChangeSettings(t *testing.T) {
+	t.Parallel()
 	inDay(t, func(d *day) {
 		const path = "/admin/settings"
 		var s wire.Settings
--- a/internal/standin/day_test.go
+++ b/internal/standin/day_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"log/slog"
 	"math/rand/v2"
 	"os"
 	"strconv"
@@ -288,16 +286,6 @@
 	}
 }
 
-func quiet(t *testing.T) {
-	old := slog.Default()
-	var out io.Writer = io.Discard
-	if os.Getenv("DAY_LOG") != "" {
-		out = os.Stderr
-	}
-	slog.SetDefault(slog.New(slog.NewTextHandler(out, nil)))
-	t.Cleanup(func() { slog.SetDefault(old) })
-}
-
 // play plays a day of faults by chance and returns the rules it broke.
 func play(t *testing.T, seed uint64, faults int, prepare ...func(d *day)) (broken []string, started int) {
 	synctest.Test(t, func(t *testing.T) {
@@ -344,7 +332,6 @@
 
 // playDays plays days of faults by chance side by side, each prepared by its number.
 func playDays(t *testing.T, first, days uint64, prepare func(d *day, number uint64)) {
-	quiet(t)
 	for number := range days {
 		t.Run(fmt.Sprint(number), func(t *testing.T) {
 			t.Parallel()
@@ -363,6 +350,7 @@
 // machines, late transactions and late copies of reports, and every accepted
 // job is over some time after the last fault.
 func TestRulesHoldWhateverFails(t *testing.T) {
+	t.Parallel()
 	days := 12
 	if n, err := strconv.Atoi(os.Getenv("DAYS")); err == nil {
 		days = n // to look for more
@@ -372,6 +360,7 @@
 
 // The judge of the rules sees what it is there to see.
 func TestJudgeCanFail(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		nw := standin.NewNetwork(rand.New(rand.NewPCG(1, 1)))
 		w := standin.NewWorld(nodeConfig(t, 0), nw, labels, catalog)
@@ -399,7 +388,7 @@
 // that is withdrawn meanwhile must be gone within cancel_s: that controller
 // stops to keep leases in time, although nothing tells it of the withdrawal.
 func TestWithdrawnTasksDieBehindACut(t *testing.T) {
-	quiet(t)
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		d := newDay(t, 1)
 		d.w.AddMachines("g8", "a", 2)
@@ -438,6 +427,7 @@
 // A job that fails everywhere by its own mistake condemns no machine, rents
 // no fleet and keeps nobody from running; its user can still withdraw it.
 func TestMistakenJobHarmsNobody(t *testing.T) {
+	t.Parallel()
 	inDay(t, func(d *day) {
 		d.w.Mistaken = "broken"
 		base := wire.Work{Berth: "broken", Crew: "free", Shape: wire.Sweep, Rank: wire.Standard, Legs: 6, Cores: 4, Gpus: 1, RAMGb: 20, Rollout: "img", ImageGb: 4, ExpectS: 5}
@@ -474,6 +464,7 @@
 // The largest array is taken, makes progress and keeps within the limits of
 // the state service, also when the leader changes.
 func TestLargestArray(t *testing.T) {
+	t.Parallel()
 	inDay(t, func(d *day) {
 		d.w.Capacity = 4
 		s := wire.Work{UID: "run-000001", Berth: "large", Crew: "free", Shape: wire.Sweep, Rank: wire.Standard, Legs: wire.MaxLegs,
@@ -514,6 +505,7 @@
 // A leader that is ill placed hands over once a better one has been well for a
 // while, and nothing that runs is lost by it.
 func TestHandOver(t *testing.T) {
+	t.Parallel()
 	inDay(t, func(d *day) {
 		d.crash(0)
 		d.crash(1)
--- a/internal/standin/grown_test.go
+++ b/internal/standin/grown_test.go
@@ -77,7 +77,7 @@
 // The rules hold at the size that the deployments have grown to, also when the
 // leader changes and while junk comes in.
 func TestGrownFleet(t *testing.T) {
-	quiet(t)
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		broken, started := grown(t, 190, 90*time.Second, func(d *day) {
 			time.Sleep(20 * time.Second)
@@ -102,7 +102,7 @@
 // a rush of hundreds of jobs, a third of the machines cut off, machines that hang
 // and die, and all controllers down at once with the state service.
 func TestLargeFleet(t *testing.T) {
-	quiet(t)
+	t.Parallel()
 	const machines = 1070
 	synctest.Test(t, func(t *testing.T) {
 		broken, started := grown(t, machines, 60*time.Second, func(d *day) {
--- a/internal/standin/limits_test.go
+++ b/internal/standin/limits_test.go
@@ -15,7 +15,6 @@
 // limits allow, before and after which the limits come. It returns the keys of commits
 // that were over the limits once all nodes were new.
 func playLimits(t *testing.T, limitsAt time.Duration) (rejected []string) {
-	quiet(t)
 	synctest.Test(t, func(t *testing.T) {
 		d := newDay(t, 1, func(d *day) { d.old, d.next = [3]bool{true, true, true}, next() })
 		d.w.AddMachines("g8", "a", 3)
@@ -57,6 +56,7 @@
 // Once all nodes are new, nothing that is written is over the limits that the state
 // service has, or is going to have.
 func TestNothingIsOverTheLowerLimits(t *testing.T) {
+	t.Parallel()
 	if rejected := playLimits(t, 60*time.Second); len(rejected) > 0 {
 		t.Errorf("over the lower limits: %v", rejected)
 	}
@@ -65,6 +65,7 @@
 // Limits that come before the upgrade is over hold up the jobs whose placements do not
 // fit, until it is, and no others.
 func TestLimitsThatComeEarly(t *testing.T) {
+	t.Parallel()
 	if rejected := playLimits(t, 20*time.Second); len(rejected) > 0 {
 		t.Errorf("over the lower limits: %v", rejected)
 	}
@@ -73,6 +74,7 @@
 // A record that the state service rejects for another reason than the known limits holds
 // up no other job.
 func TestRejectedRecordsHoldUpNoOther(t *testing.T) {
+	t.Parallel()
 	inDay(t, func(d *day) {
 		d.w.State.SetLimits(standin.Limits{ValueBytes: 700}) // lower than anyone was told
 		array := stage(1, 80)
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -120,7 +120,7 @@
 // in the gap may not have read the records at all: the tasks must be gone within
 // cancel_s of the confirmation all the same.
 func TestGap(t *testing.T) {
-	quiet(t)
+	t.Parallel()
 	const jobs = 8
 	type gap struct {
 		how     string        // what keeps the leader from the state service
@@ -186,6 +186,7 @@
 // A leader that the state service refuses, alone, learns of a withdrawal from the
 // node that confirmed it: the tasks are gone in seconds, not with their leases.
 func TestWithdrawalsAreTold(t *testing.T) {
+	t.Parallel()
 	inDay(t, func(d *day) {
 		spec, _ := replicas(0)(1, rand.New(rand.NewPCG(1, 1)))
 		spec.Legs = 4
@@ -216,6 +217,7 @@
 // nor waits until the old one's knowledge is too old: it tells them its token, and
 // they come to it with all that they run.
 func TestFleetOfADeposedLeaderComesOver(t *testing.T) {
+	t.Parallel()
 	const machines, replicas = 48, 300
 	inDay(t, func(d *day) {
 		d.w.Capacity = machines + 2
@@ -371,7 +373,7 @@
 // Each meeting of troubles that operators have named breaks no rule, at any of
 // the timings that are drawn. docs/failures.md lists which is tested by which.
 func TestMeetings(t *testing.T) {
-	quiet(t)
+	t.Parallel()
 	s := time.Second
 	for _, m := range []meeting{
 		{name: "close looks, cancelled at ends, answers lost", machines: 6, n: 40, every: s, jobs: mixed, script: func(d *day, r *rand.Rand) {
@@ -616,7 +618,7 @@
 // less than its hold, a lease or cancel_s and for more. On waking it has an old
 // picture, old reports to answer and answers to what it asked long ago.
 func TestStandingStill(t *testing.T) {
-	quiet(t)
+	t.Parallel()
 	isLead := func(d *day, label string) bool { lead := d.leading(); return lead >= 0 && labels[lead] == label }
 	// Each tells, of a request, who is to stand still now; nobody is "".
 	for _, phase := range []struct {
@@ -723,7 +725,7 @@
 
 // The judge sees answers that break a rule, and jobs that are not served.
 func TestJudgeOfAnswersCanFail(t *testing.T) {
-	quiet(t)
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		nw := standin.NewNetwork(rand.New(rand.NewPCG(1, 1)))
 		w := standin.NewWorld(nodeConfig(t, 0), nw, labels[:1], catalog)
--- a/internal/standin/pipelines_test.go
+++ b/internal/standin/pipelines_test.go
@@ -124,7 +124,7 @@
 // The rules hold for pipelines too, whatever fails while a new release is brought in and
 // the state service lowers its limits.
 func TestPipelinesWhateverFails(t *testing.T) {
-	quiet(t)
+	t.Parallel()
 	for seed := range uint64(seeds(t, 8)) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
@@ -146,6 +146,7 @@
 // milliseconds around the end, the cancellation or the archiving of the first, with close
 // looks at every answer.
 func TestSuccessorsAroundTheEndOfAJob(t *testing.T) {
+	t.Parallel()
 	inDay(t, func(d *day) {
 		d.w.CloseLooks = true
 		r := rand.New(rand.NewPCG(7, 7))
@@ -185,6 +186,7 @@
 // Submissions that name other jobs are answered as the interface has it, and a job that
 // is known is never refused.
 func TestDependenciesAreChecked(t *testing.T) {
+	t.Parallel()
 	inDay(t, func(d *day) {
 		const w = "/work"
 		first, last := stage(1, 1), stage(9, 1)
@@ -223,6 +225,7 @@
 // A list of jobs that does not fit a record is refused with word how many would, unless
 // the job is known: one that was accepted under a higher limit is not forgotten.
 func TestLongListsOfDependencies(t *testing.T) {
+	t.Parallel()
 	inDay(t, func(d *day) {
 		var names []string
 		for i := range 700 {
@@ -245,7 +248,7 @@
 // Nothing that a node of the release before would run too early is accepted while there
 // is such a node: neither by a new node, nor passed on to an old one.
 func TestNoDependenciesWhileAnOlderReleaseServes(t *testing.T) {
-	quiet(t)
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		d := newDay(t, 1, func(d *day) { d.old = [3]bool{true, true, true} })
 		d.w.AddMachines("g8", "a", 2)
@@ -283,7 +286,7 @@
 // A node that the leader cannot reach is upgraded all the same: the leader learns from
 // the state service that it is, and that it is no longer old from nowhere else.
 func TestVersionIsRaisedPastACut(t *testing.T) {
-	quiet(t)
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		d := newDay(t, 1, func(d *day) { d.old = [3]bool{true, true, true} })
 		d.w.AddMachines("g8", "a", 2)
@@ -313,6 +316,7 @@
 // refused by the state service, and after an outage of longer than cancel_s; also if it
 // was submitted after the cancellation, and whatever lies between the two.
 func TestCancellationReachesAllThatNeedTheJob(t *testing.T) {
+	t.Parallel()
 	nothing := func(*day) {}
 	for name, tc := range map[string]struct{ before, after func(d *day) }{
 		"no trouble": {nothing, nothing},
@@ -390,6 +394,7 @@
 
 // The judge of pipelines sees what it is there to see.
 func TestJudgeOfPipelinesCanFail(t *testing.T) {
+	t.Parallel()
 	inDay(t, func(d *day) {
 		d.w.Capacity = 2 // no more machines than there are
 		first := stage(1, 1)
--- a/internal/standin/ready_test.go
+++ b/internal/standin/ready_test.go
@@ -8,6 +8,7 @@
 // A node leaves the balancer when it is cut off while others serve, also if it cannot ask
 // them. In an outage that all share, none leaves.
 func TestOnlyNodesThatAreCutOffLeaveTheBalancer(t *testing.T) {
+	t.Parallel()
 	inDay(t, func(d *day) {
 		ready := func(want ...int) {
 			t.Helper()
--- a/internal/standin/relays_test.go
+++ b/internal/standin/relays_test.go
@@ -31,12 +31,14 @@
 // The rules hold on days of all faults by chance while followers keep workers and relay
 // their reports, also while the fleet grows and shrinks past the limit for that.
 func TestRulesHoldWithRelays(t *testing.T) {
+	t.Parallel()
 	playRelayed(t, 500, 8, func(*day, uint64) {})
 }
 
 // The same next to nodes of the release before, which know no relays: one or two of them,
 // leaders or not, are never sent workers to keep.
 func TestRulesHoldWithRelaysNextToTheReleaseBefore(t *testing.T) {
+	t.Parallel()
 	playRelayed(t, 600, 6, func(d *day, seed uint64) {
 		d.old[seed%3] = true
 		d.old[(seed+1)%3] = seed >= 3
@@ -181,7 +183,6 @@
 // undisturbed plays a site in simulated time: whatever f does to it, no task ends and no
 // rule is broken.
 func undisturbed(t *testing.T, f func(s *site)) {
-	quiet(t)
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, true)
 		s.fill()
@@ -202,6 +203,7 @@
 // tried the controllers one after the other, 5 s each, and of 338 workers behind a cut 324
 // lost their leases before they came to their own.
 func TestCutZoneKeepsItsLeases(t *testing.T) {
+	t.Parallel()
 	for _, ofLeader := range []bool{false, true} {
 		t.Run(fmt.Sprintf("of the leader: %v", ofLeader), func(t *testing.T) {
 			undisturbed(t, func(s *site) {
@@ -222,6 +224,7 @@
 // A leader ends while followers keep the workers: nobody loses a lease, and the next leader
 // hears of all workers by the followers at once.
 func TestLeaderEndsBehindItsRelays(t *testing.T) {
+	t.Parallel()
 	undisturbed(t, func(s *site) {
 		for range 3 {
 			i := s.leader()
@@ -236,6 +239,7 @@
 // A follower ends, or stands still, while it keeps workers: they find another node, and
 // none of them is given up as silent meanwhile.
 func TestRelayEnds(t *testing.T) {
+	t.Parallel()
 	for _, stands := range []bool{false, true} {
 		t.Run(fmt.Sprintf("stands still: %v", stands), func(t *testing.T) {
 			undisturbed(t, func(s *site) {
@@ -259,6 +263,7 @@
 // gives up none of those that are still on their way. While only reports that were passed
 // on singly counted for that, it gave up 129 of its 178.
 func TestLeaderLosesItsWorkers(t *testing.T) {
+	t.Parallel()
 	undisturbed(t, func(s *site) {
 		leader := s.labels[s.leader()]
 		for _, on := range []bool{true, false} {
--- a/internal/standin/standby_test.go
+++ b/internal/standin/standby_test.go
@@ -23,12 +23,14 @@
 // The rules hold on days of all faults by chance while successors take over what they have
 // followed.
 func TestRulesHoldWithWarmStandby(t *testing.T) {
+	t.Parallel()
 	playStandby(t, 700, 8, func(*day, uint64) {})
 }
 
 // The same next to nodes of a release that knows no standby, one or two of them, leaders or
 // not.
 func TestRulesHoldWithWarmStandbyNextToTheReleaseBefore(t *testing.T) {
+	t.Parallel()
 	playStandby(t, 800, 4, func(d *day, seed uint64) {
 		d.old[seed%3] = true
 		d.old[(seed+1)%3] = seed >= 2
@@ -38,6 +40,7 @@
 // The same while nodes of the release before are replaced one after the other, in any order,
 // and some are taken back again.
 func TestRulesHoldWithWarmStandbyAcrossUpgrades(t *testing.T) {
+	t.Parallel()
 	playStandby(t, 850, 6, func(d *day, seed uint64) {
 		d.old = [3]bool{true, true, true}
 		order := rand.New(rand.NewPCG(seed, 5)).Perm(3)
@@ -140,7 +143,7 @@
 // flight: no rule is broken with or without a standby, most terms begin warm with one, and
 // none that does takes longer to decide than ten seconds after its leader's end.
 func TestTakeovers(t *testing.T) {
-	quiet(t)
+	t.Parallel()
 	for _, standby := range []bool{false, true} {
 		t.Run(fmt.Sprintf("standby: %v", standby), func(t *testing.T) {
 			for seed := range uint64(3) {
@@ -226,7 +229,7 @@
 // The hard cases of a takeover, each while jobs come and go: no rule is broken, tasks are
 // placed again, and the new leader says what it has proven, or why it has listed all records.
 func TestTakeoverHardCases(t *testing.T) {
-	quiet(t)
+	t.Parallel()
 	for _, tc := range []struct {
 		name string
 		// trouble comes before the leader ends, and returns what ends it.
