--- a/internal/api/admin.go
+++ b/internal/api/admin.go
@@ -89,6 +89,7 @@
 			metrics.WriteGaugeUint64(&out, fmt.Sprintf(`lotusstile_tasks{class=%q,state="placed"}`, class), uint64(cl.Placed))
 		}
 		metrics.WriteGaugeUint64(&out, "lotusstile_window", uint64(st.Window))
+		metrics.WriteCounterUint64(&out, "lotusstile_stale_nodes_total", l.StaleNodes())
 	}
 	return c.Blob(http.StatusOK, "text/plain; version=0.0.4", out.Bytes())
 }
--- a/internal/api/bench_test.go
+++ b/internal/api/bench_test.go
@@ -39,7 +39,7 @@
 func benchUID(machine int) string { return fmt.Sprintf("run-%06d", machine) }
 
 // benchState is a state service with a job of eight tasks for each machine, all placed on it.
-func benchState(b *testing.B) *standin.State {
+func benchState(b testing.TB, machines int) *standin.State {
 	b.Helper()
 	state := standin.NewState()
 	commit := func(changes ...wire.Change) {
@@ -49,7 +49,7 @@
 		}
 		state.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/commit", strings.NewReader(string(body))))
 	}
-	for i := range benchMachines {
+	for i := range machines {
 		spec, err := wire.ParseWork(fmt.Appendf(nil, benchDescription, i, i%8))
 		if err != nil {
 			b.Fatal(err)
@@ -69,14 +69,14 @@
 
 // benchNode is a node that leads the fleet of benchState; every machine has
 // reported all its tasks running.
-func benchNode(b *testing.B) *Node {
+func benchNode(b testing.TB, machines, connections int) *Node {
 	b.Helper()
 	slog.SetDefault(slog.New(slog.DiscardHandler))
 	cfg := &config.Config{Label: "n", Location: "a"}
 	cfg.Services.State, cfg.Services.Cloud = "state:1", "cloud:1"
 	cfg.Cluster.Workers.LeaseS, cfg.Cluster.Workers.ReportS, cfg.Cluster.Workers.CancelS = benchLease, benchReport, 4*benchLease
 	cfg.Cluster.State.Rps, cfg.Cluster.State.WriteRps, cfg.Cluster.State.ValueKb, cfg.Cluster.State.TxnOps = 1e9, 1e9, 8, 24
-	cfg.Cluster.Cloud.Rps, cfg.Cluster.Cloud.ListLagS, cfg.Cluster.Limits.MaxConnections = 1, 600, 700
+	cfg.Cluster.Cloud.Rps, cfg.Cluster.Cloud.ListLagS, cfg.Cluster.Limits.MaxConnections = 1, 600, connections
 	cfg.Cluster.Teams = []config.Team{{Name: "team"}}
 	catalog := wire.Catalog{Rigs: []wire.Rig{{Sku: "g8", Cores: 96, Gpus: 8, RAMGb: 576, PullGbPerS: 1, Hourly: 20, LowPrice: 5, BootS: 45, Yards: []string{"a"}}}}
 	cloud := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -86,7 +86,7 @@
 		}
 		_, _ = io.WriteString(w, `{"Hosts":[]}`)
 	})
-	n := New(cfg, Network{State: handlerTransport{benchState(b)}, Cloud: handlerTransport{cloud}})
+	n := New(cfg, Network{State: handlerTransport{benchState(b, machines)}, Cloud: handlerTransport{cloud}})
 	ctx, cancel := context.WithCancel(context.Background())
 	b.Cleanup(cancel)
 	n.Start(ctx)
@@ -98,7 +98,7 @@
 			b.Fatal("the node does not lead")
 		}
 	}
-	for i := range benchMachines {
+	for i := range machines {
 		benchCheckIn(b, n, i, 1)
 		benchCheckIn(b, n, i, 2)
 	}
@@ -115,7 +115,7 @@
 		benchHost(machine), tick, term, strings.Join(legs, ","))
 }
 
-func benchCheckIn(b *testing.B, n *Node, machine int, tick uint64) {
+func benchCheckIn(b testing.TB, n *Node, machine int, tick uint64) {
 	rec := httptest.NewRecorder()
 	body := benchReportBody(n.lead.Load().Term(), machine, tick)
 	n.echo.ServeHTTP(rec, httptest.NewRequest(http.MethodPost, "/checkin", strings.NewReader(body)))
@@ -126,7 +126,7 @@
 
 // A check-in that says nothing new, of a machine that is full.
 func BenchmarkUnchangedCheckIn(b *testing.B) {
-	n := benchNode(b)
+	n := benchNode(b, benchMachines, 700)
 	bodies := make([]string, b.N)
 	for i := range bodies {
 		bodies[i] = benchReportBody(n.lead.Load().Term(), i%benchMachines, uint64(i/benchMachines+3))
@@ -143,7 +143,7 @@
 
 // The same, with all of the HTTP handler's work.
 func BenchmarkUnchangedCheckInHandler(b *testing.B) {
-	n := benchNode(b)
+	n := benchNode(b, benchMachines, 700)
 	requests, answers := make([]*http.Request, b.N), make([]*httptest.ResponseRecorder, b.N)
 	for i := range requests {
 		body := benchReportBody(n.lead.Load().Term(), i%benchMachines, uint64(i/benchMachines+3))
@@ -159,7 +159,7 @@
 
 // A poll for a job that runs; the state service's own work is part of it.
 func BenchmarkPoll(b *testing.B) {
-	n := benchNode(b)
+	n := benchNode(b, benchMachines, 700)
 	b.ReportAllocs()
 	b.ResetTimer()
 	for i := range b.N {
@@ -173,7 +173,7 @@
 
 // A submission that is known already; the state service's own work is part of it.
 func BenchmarkRepeatedSubmission(b *testing.B) {
-	n := benchNode(b)
+	n := benchNode(b, benchMachines, 700)
 	b.ReportAllocs()
 	b.ResetTimer()
 	for i := range b.N {
--- a/internal/controller/nodes.go
+++ b/internal/controller/nodes.go
@@ -26,6 +26,13 @@
 	return keptNodes{view: sched.NewView(), timed: map[string]time.Time{}}
 }
 
+// StaleNodes counts the machines that had changed without the rounds' view of them being told.
+func (c *Controller) StaleNodes() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes.missed
+}
+
 // refreshNodes brings the rounds' view of the machines up to date. c.mu is held.
 func (c *Controller) refreshNodes(now time.Time) {
 	c.fleet.TakeChanged(func(id string, m *fleet.Machine) { c.putNode(id, m, now) })
