--- a/cmd/fleetsim/main.go
+++ b/cmd/fleetsim/main.go
@@ -237,8 +237,8 @@
 }
 
 func (c *cli) catalog() wire.Catalog {
-	return wire.Catalog{Rigs: []wire.Rig{
-		{Sku: "g8", Cores: 96, Gpus: 8, RAMGb: 576, LocalGb: 400, PullGbPerS: 2, Hourly: 24, LowPrice: 6, BootS: 15, Yards: c.zones()},
+	return wire.Catalog{MachineTypes: []wire.MachineType{
+		{Name: "g8", Cores: 96, Gpus: 8, RAMGb: 576, LocalGb: 400, PullGbPerS: 2, Hourly: 24, LowPrice: 6, BootS: 15, Zones: c.zones()},
 	}}
 }
 
--- a/internal/api/bench_test.go
+++ b/internal/api/bench_test.go
@@ -56,7 +56,7 @@
 		}
 		piece := ledger.Piece{Next: 2}
 		for leg := range tasksPerMachine {
-			piece.Live = append(piece.Live, ledger.Placed{Leg: leg, Try: 1, Host: benchHost(i), Shift: 1})
+			piece.Live = append(piece.Live, ledger.Placed{Task: leg, Try: 1, Host: benchHost(i), Session: 1})
 		}
 		job := ledger.Job{Spec: spec, Status: wire.JobQueued, AtMs: time.Now().UnixMilli(), Per: 80}
 		commit(wire.Change{Set: ledger.JobKey(spec.UID), Value: ledger.Encode(job)},
@@ -78,7 +78,7 @@
 	cfg.Cluster.State.Rps, cfg.Cluster.State.WriteRps, cfg.Cluster.State.ValueKb, cfg.Cluster.State.TxnOps = 1e9, 1e9, 8, 24
 	cfg.Cluster.Cloud.Rps, cfg.Cluster.Cloud.ListLagS, cfg.Cluster.Limits.MaxConnections = 1, 600, connections
 	cfg.Cluster.Teams = []config.Team{{Name: "team"}}
-	catalog := wire.Catalog{Rigs: []wire.Rig{{Sku: "g8", Cores: 96, Gpus: 8, RAMGb: 576, PullGbPerS: 1, Hourly: 20, LowPrice: 5, BootS: 45, Yards: []string{"a"}}}}
+	catalog := wire.Catalog{MachineTypes: []wire.MachineType{{Name: "g8", Cores: 96, Gpus: 8, RAMGb: 576, PullGbPerS: 1, Hourly: 20, LowPrice: 5, BootS: 45, Zones: []string{"a"}}}}
 	cloud := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/catalog" {
 			_ = json.NewEncoder(w).Encode(catalog)
--- a/internal/api/load_test.go
+++ b/internal/api/load_test.go
@@ -102,7 +102,7 @@
 			cfg.Services.State = "state:1"
 			state := always(http.StatusOK)
 			n := New(cfg, Network{State: &state})
-			n.cat.Store(&wire.Catalog{Rigs: []wire.Rig{{Sku: "g", Cores: 8, Gpus: 8, RAMGb: 8, Yards: []string{"a"}}}})
+			n.cat.Store(&wire.Catalog{MachineTypes: []wire.MachineType{{Name: "g", Cores: 8, Gpus: 8, RAMGb: 8, Zones: []string{"a"}}}})
 			time.Sleep(time.Millisecond)
 			if _, _, err := n.store.Get(t.Context(), "e/term"); err != nil {
 				t.Fatal(err)
@@ -164,7 +164,7 @@
 		cfg.Cluster.Cloud.Rps, cfg.Cluster.Limits.MaxConnections = 1, 100
 		state := &losing{always(http.StatusOK), 1}
 		n := New(cfg, Network{State: state})
-		n.cat.Store(&wire.Catalog{Rigs: []wire.Rig{{Sku: "g", Cores: 8, Gpus: 8, RAMGb: 8, Yards: []string{"a"}}}})
+		n.cat.Store(&wire.Catalog{MachineTypes: []wire.MachineType{{Name: "g", Cores: 8, Gpus: 8, RAMGb: 8, Zones: []string{"a"}}}})
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() {
 			for ctx.Err() == nil {
--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -230,7 +230,7 @@
 	pause := n.cfg.HoldTTL() / 4
 	for ctx.Err() == nil {
 		cat, err := n.cloud.Catalog(ctx)
-		if err == nil && len(cat.Rigs) > 0 {
+		if err == nil && len(cat.MachineTypes) > 0 {
 			n.cat.Store(&cat)
 			return
 		}
--- a/internal/api/relay.go
+++ b/internal/api/relay.go
@@ -100,7 +100,7 @@
 
 // answerRelayed decides the answer to one relayed report.
 func (n *Node) answerRelayed(ctx context.Context, r *wire.Report, from string, pressure relay.Pressure) peer.RelayedAnswer {
-	a := peer.RelayedAnswer{Host: r.Host, Shift: r.Shift, Tick: r.Tick}
+	a := peer.RelayedAnswer{Host: r.Host, Shift: r.Session, Tick: r.Sequence}
 	d := n.decide(ctx, r, nil, source{relay: from, pressure: pressure})
 	a.Status = d.status
 	if d.orders != nil {
--- a/internal/api/reports.go
+++ b/internal/api/reports.go
@@ -124,14 +124,14 @@
 // within cancel_s. The lease counts from when the report was sent, which was
 // before this: how long the answer takes from here on does not matter.
 func (n *Node) renew(r *wire.Report, o *wire.Orders) bool {
-	uids := make([]string, 0, len(r.Legs)+len(o.Orders))
-	for _, l := range r.Legs {
-		if uid, _, ok := wire.SplitLeg(l.Leg); ok && l.Status != wire.LegEnded {
+	uids := make([]string, 0, len(r.Tasks)+len(o.Orders))
+	for _, l := range r.Tasks {
+		if uid, _, ok := wire.SplitTaskName(l.Task); ok && l.Status != wire.TaskEnded {
 			uids = append(uids, uid)
 		}
 	}
 	for _, w := range o.Orders {
-		if uid, _, ok := wire.SplitLeg(w.Leg); ok && w.Verb == wire.Launch {
+		if uid, _, ok := wire.SplitTaskName(w.Leg); ok && w.Verb == wire.Launch {
 			uids = append(uids, uid)
 		}
 	}
@@ -144,13 +144,13 @@
 		return true
 	}
 	gone := func(leg string) bool {
-		uid, _, _ := wire.SplitLeg(leg)
+		uid, _, _ := wire.SplitTaskName(leg)
 		return withdrawn[uid]
 	}
 	stops := map[wire.Order]bool{}
-	for _, l := range r.Legs {
-		if l.Status != wire.LegEnded && gone(l.Leg) {
-			stops[wire.Order{Verb: wire.Stop, Leg: l.Leg, Try: l.Try}] = true
+	for _, l := range r.Tasks {
+		if l.Status != wire.TaskEnded && gone(l.Task) {
+			stops[wire.Order{Verb: wire.Stop, Leg: l.Task, Try: l.Try}] = true
 		}
 	}
 	o.Orders = slices.DeleteFunc(o.Orders, func(w wire.Order) bool {
@@ -251,8 +251,8 @@
 	if !v.Synced || v.Known == 0 {
 		return nil, nil
 	}
-	if r.Baton > v.Known {
-		n.elector.Saw(r.Baton, "")
+	if r.Token > v.Known {
+		n.elector.Saw(r.Token, "")
 		return nil, &wire.Redirect{}
 	}
 	n.mu.Lock()
@@ -323,7 +323,7 @@
 
 // Announce tells a worker a token by an empty direct command.
 func (n *Node) Announce(ctx context.Context, address string, baton, shift uint64) (wire.Report, error) {
-	body, err := json.Marshal(wire.Direct{Baton: baton, Shift: shift, Orders: []wire.Order{}})
+	body, err := json.Marshal(wire.Direct{Token: baton, Session: shift, Orders: []wire.Order{}})
 	if err != nil {
 		return wire.Report{}, fmt.Errorf("encode: %w", err)
 	}
--- a/internal/api/reports_test.go
+++ b/internal/api/reports_test.go
@@ -26,9 +26,9 @@
 		state := always(http.StatusOK)
 		n := New(cfg, Network{State: &state})
 		time.Sleep(time.Second)
-		report := wire.Report{Host: "m", Legs: []wire.LegReport{
-			{Leg: "run-000001/0", Try: 2, Status: wire.LegRunning}, {Leg: "run-000001/1", Try: 1, Status: wire.LegSaving},
-			{Leg: "run-000001/2", Try: 1, Status: wire.LegEnded}, {Leg: "run-000002/0", Try: 1, Status: wire.LegRunning}}}
+		report := wire.Report{Host: "m", Tasks: []wire.TaskReport{
+			{Task: "run-000001/0", Try: 2, Status: wire.TaskRunning}, {Task: "run-000001/1", Try: 1, Status: wire.TaskSaving},
+			{Task: "run-000001/2", Try: 1, Status: wire.TaskEnded}, {Task: "run-000002/0", Try: 1, Status: wire.TaskRunning}}}
 		ordered := []wire.Order{{Verb: wire.Launch, Leg: "run-000001/3", Try: 1}, {Verb: wire.Stop, Leg: "run-000001/1", Try: 1, LeewayS: 9},
 			{Verb: wire.Stop, Leg: "run-000001/4", Try: 1}, {Verb: wire.Reap, Leg: "run-000001/2", Try: 1}, {Verb: wire.Launch, Leg: "run-000002/1", Try: 1}}
 		if n.renew(&report, &wire.Orders{}) {
--- a/internal/controller/announce.go
+++ b/internal/controller/announce.go
@@ -46,7 +46,7 @@
 
 type announcement struct {
 	host, address string
-	shift         uint64
+	session       uint64
 }
 
 func (c *Controller) toAnnounce() []announcement {
@@ -85,21 +85,21 @@
 }
 
 func (c *Controller) announce(ctx context.Context, t announcement) {
-	r, err := c.Worker.Announce(ctx, t.address, c.term, t.shift)
+	r, err := c.Worker.Announce(ctx, t.address, c.term, t.session)
 	if err != nil {
 		slog.Debug("token not announced", "host", t.host, "err", err)
 		return
 	}
-	if r.Baton > c.term {
-		c.Saw(r.Baton)
+	if r.Token > c.term {
+		c.Saw(r.Token)
 		c.depose("a worker has seen a higher token")
 		return
 	}
-	if r.Baton == c.term && r.Shift == t.shift {
+	if r.Token == c.term && r.Session == t.session {
 		c.alive(t.host)
 	}
-	if r.Baton < c.term && r.Shift != t.shift && strings.EqualFold(r.Host, t.host) {
-		if _, err := c.Worker.Announce(ctx, t.address, c.term, r.Shift); err != nil {
+	if r.Token < c.term && r.Session != t.session && strings.EqualFold(r.Host, t.host) {
+		if _, err := c.Worker.Announce(ctx, t.address, c.term, r.Session); err != nil {
 			slog.Debug("token not announced", "host", t.host, "err", err)
 		}
 	}
--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -20,7 +20,7 @@
 	c.Rounded = func(time.Duration) {}
 	c.Mirror.Reset(nil, 1, *now)
 	c.Config.Cluster.State.WriteRps = 100
-	c.cat = &wire.Catalog{Rigs: []wire.Rig{{Sku: "g8", Cores: 96, Gpus: 8, RAMGb: 576, Hourly: 20, LowPrice: 5, BootS: 45, Yards: []string{"a"}}}}
+	c.cat = &wire.Catalog{MachineTypes: []wire.MachineType{{Name: "g8", Cores: 96, Gpus: 8, RAMGb: 576, Hourly: 20, LowPrice: 5, BootS: 45, Zones: []string{"a"}}}}
 	return c
 }
 
@@ -32,7 +32,7 @@
 		uid := fmt.Sprintf("run-%06d", i)
 		spec := wire.Work{UID: uid, Berth: "serve", Shape: wire.Standing, Rank: wire.High, Legs: 8, Cores: 8, Gpus: 1, RAMGb: 40, Rollout: "image"}
 		c.takeJob(uid, ledger.Entry{Job: &ledger.Job{Spec: spec, Status: wire.JobQueued, Per: 80}, Stamp: 1})
-		m, _ := c.fleet.Report(&wire.Report{Host: fmt.Sprintf("m-%03d", i), Rig: "g8", Yard: "a", Shift: 1, Tick: 1, Baton: c.term}, now)
+		m, _ := c.fleet.Report(&wire.Report{Host: fmt.Sprintf("m-%03d", i), MachineType: "g8", Zone: "a", Session: 1, Sequence: 1, Token: c.term}, now)
 		c.capacity(m)
 		j := c.jobs[uid]
 		for leg := range 8 {
@@ -65,10 +65,10 @@
 			s.Rank, s.Shape, s.Standby = wire.BestEffort, wire.Sweep, true
 		}
 		c.takeJob(s.UID, ledger.Entry{Job: &ledger.Job{Spec: s, Status: wire.JobQueued, Per: 80}, Stamp: 1})
-		m, _ := c.fleet.Report(&wire.Report{Host: fmt.Sprintf("m-%06d", i), Rig: "g8", Yard: "a", Shift: 1, Tick: 1, Baton: c.term}, *now)
+		m, _ := c.fleet.Report(&wire.Report{Host: fmt.Sprintf("m-%06d", i), MachineType: "g8", Zone: "a", Session: 1, Sequence: 1, Token: c.term}, *now)
 		c.capacity(m)
 		j := c.jobs[s.UID]
-		legs := []wire.LegReport{}
+		legs := []wire.TaskReport{}
 		for leg := range 8 {
 			if leg == 7 && i%10 == 0 {
 				continue
@@ -79,9 +79,9 @@
 			c.fleet.Place(m, a, *now)
 			c.fleet.Commit(a, *now)
 			c.fleet.Orders(m, *now, true)
-			legs = append(legs, wire.LegReport{Leg: a.Name(), Try: 1, Status: wire.LegRunning})
+			legs = append(legs, wire.TaskReport{Task: a.Name(), Try: 1, Status: wire.TaskRunning})
 		}
-		c.fleet.Report(&wire.Report{Host: m.ID, Rig: "g8", Yard: "a", Shift: 1, Tick: 2, Baton: c.term, Legs: legs}, *now)
+		c.fleet.Report(&wire.Report{Host: m.ID, MachineType: "g8", Zone: "a", Session: 1, Sequence: 2, Token: c.term, Tasks: legs}, *now)
 	}
 	for i := range waiting {
 		s := spec(1_000_000+i, wire.Standard, 96) // no machine has room for it
--- a/internal/controller/checkin.go
+++ b/internal/controller/checkin.go
@@ -25,8 +25,8 @@
 // part of a report's interval: launches and stops then travel at once instead of with
 // the next report.
 func (c *Controller) CheckIn(ctx context.Context, r *wire.Report, opts CheckInOptions) (o wire.Orders, ok bool) {
-	if r.Baton > c.term {
-		c.Saw(r.Baton)
+	if r.Token > c.term {
+		c.Saw(r.Token)
 		c.depose("a worker has seen a higher token")
 		return wire.Orders{}, false
 	}
@@ -55,7 +55,7 @@
 	c.waitForCommands(ctx, m)
 	// Commands answer the newest report only: the worker drops this answer if it
 	// has sent another one.
-	if m.Session == r.Shift && m.Sequence == r.Tick && ctx.Err() == nil {
+	if m.Session == r.Session && m.Sequence == r.Sequence && ctx.Err() == nil {
 		o.Orders = c.fleet.Orders(m, c.now(), c.mayLaunch())
 	}
 	return o, true
--- a/internal/controller/checkin_test.go
+++ b/internal/controller/checkin_test.go
@@ -24,12 +24,12 @@
 		longest := c.Config.ReportEvery() / 2
 		for i := range machines {
 			time.Sleep(c.Config.ReportEvery() / machines)
-			report := wire.Report{Host: fmt.Sprintf("m-%d", i), Shift: 1, Tick: 1, Baton: c.term}
+			report := wire.Report{Host: fmt.Sprintf("m-%d", i), Session: 1, Sequence: 1, Token: c.term}
 			began := time.Now()
 			if _, ok := c.CheckIn(context.Background(), &report, CheckInOptions{}); !ok || time.Since(began) > 0 {
 				t.Fatalf("an answer that may not wait is given after %s", time.Since(began))
 			}
-			report.Tick++
+			report.Sequence++
 			go func() {
 				c.CheckIn(context.Background(), &report, CheckInOptions{MayWait: true})
 				if waited := time.Since(began); waited > longest || waited < longest-c.Config.Grid().Unit {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -245,21 +245,21 @@
 	if c.cat == nil || m.Type == "" {
 		return
 	}
-	for i := range c.cat.Rigs {
-		if c.cat.Rigs[i].Sku == m.Type {
-			m.Cap = provision.Cap(&c.cat.Rigs[i])
+	for i := range c.cat.MachineTypes {
+		if c.cat.MachineTypes[i].Name == m.Type {
+			m.Cap = provision.Cap(&c.cat.MachineTypes[i])
 			c.fleet.Touch(m)
 		}
 	}
 }
 
-func (c *Controller) machineType(sku string) *wire.Rig {
+func (c *Controller) machineType(sku string) *wire.MachineType {
 	if c.cat == nil {
 		return nil
 	}
-	for i := range c.cat.Rigs {
-		if c.cat.Rigs[i].Sku == sku {
-			return &c.cat.Rigs[i]
+	for i := range c.cat.MachineTypes {
+		if c.cat.MachineTypes[i].Name == sku {
+			return &c.cat.MachineTypes[i]
 		}
 	}
 	return nil
--- a/internal/controller/dependencies_test.go
+++ b/internal/controller/dependencies_test.go
@@ -22,7 +22,7 @@
 func TestInheritedRankCountsWhenTimeIsShort(t *testing.T) {
 	now := time.Unix(1000, 0)
 	c := watched(&now)
-	c.cat = &wire.Catalog{Rigs: []wire.Rig{{Sku: "g8", Cores: 64, Gpus: 8, RAMGb: 512, BootS: 45, Yards: []string{"a"}}}}
+	c.cat = &wire.Catalog{MachineTypes: []wire.MachineType{{Name: "g8", Cores: 64, Gpus: 8, RAMGb: 512, BootS: 45, Zones: []string{"a"}}}}
 	c.takeStage("run-000001", wire.BestEffort, 0, now, 1)
 	c.takeStage("run-000002", wire.High, 200, now, 2, "run-000001")
 	first, last := c.jobs["run-000001"], c.jobs["run-000002"]
--- a/internal/controller/events.go
+++ b/internal/controller/events.go
@@ -144,7 +144,7 @@
 		others--
 	}
 	if len(j.avoid) >= 2 && others == 0 {
-		j.hold = now.Add(min(3*lease, time.Second<<max(0, min(j.fails-2, 10))))
+		j.heldUntil = now.Add(min(3*lease, time.Second<<max(0, min(j.fails-2, 10))))
 		slog.Info("job fails on several machines", "uid", j.uid, "fails", j.fails)
 		for id := range j.avoid {
 			if o := c.fleet.Get(id); o != nil && o.Errors[j.uid] != (time.Time{}) {
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -48,7 +48,7 @@
 	fails          int
 	lost           int       // tasks that ended against the job's will
 	countsRevision uint64    // of the last change of its counts of tasks
-	hold           time.Time // not placed before
+	heldUntil      time.Time // not placed before
 	unsure         bool      // the outcome of its archiving is unknown
 	asideUntil     time.Time // nothing of it is written before: the state service rejected it
 }
@@ -175,7 +175,7 @@
 func (p *piece) record() ledger.Piece {
 	rec := ledger.Piece{Next: p.next, Done: p.done.Done}
 	for _, a := range p.live {
-		rec.Live = append(rec.Live, ledger.Placed{Leg: a.Task, Try: a.Try, Host: a.Machine.ID, Shift: a.Session})
+		rec.Live = append(rec.Live, ledger.Placed{Task: a.Task, Try: a.Try, Host: a.Machine.ID, Session: a.Session})
 	}
 	return rec
 }
@@ -187,9 +187,9 @@
 	if ledger.FitsPlain(tasks, valueBytes) {
 		return true
 	}
-	bytes := ledger.DenseBytes(ledger.Placed{Leg: leg, Try: p.next, Host: m.ID, Shift: m.Session}, tasks)
+	bytes := ledger.DenseBytes(ledger.Placed{Task: leg, Try: p.next, Host: m.ID, Session: m.Session}, tasks)
 	for _, a := range p.live {
-		bytes += ledger.DenseBytes(ledger.Placed{Leg: a.Task, Try: a.Try, Host: a.Machine.ID, Shift: a.Session}, tasks)
+		bytes += ledger.DenseBytes(ledger.Placed{Task: a.Task, Try: a.Try, Host: a.Machine.ID, Session: a.Session}, tasks)
 	}
 	return bytes <= ledger.DenseRoom(valueBytes, tasks)
 }
--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -28,15 +28,15 @@
 	kb := 2.0
 	c.Config.Cluster.State.WriteRps, c.Config.Cluster.State.Next = 1000, &config.NextStateLimits{ValueKb: &kb}
 	c.Config.Cluster.Teams = []config.Team{{Name: "crew"}}
-	c.cat = &wire.Catalog{Rigs: []wire.Rig{{Sku: "g8", Cores: 1, Gpus: 8, RAMGb: 512, Yards: []string{"a"}}}}
+	c.cat = &wire.Catalog{MachineTypes: []wire.MachineType{{Name: "g8", Cores: 1, Gpus: 8, RAMGb: 512, Zones: []string{"a"}}}}
 	c.Heard, c.Rounded = func() []string { return nil }, func(time.Duration) {}
 	c.Mirror.Reset(nil, 0, now)
 	for i := range 170 {
 		host := fmt.Sprintf("m-%03d-%s", i, strings.Repeat("x", 40))
-		m, _ := c.fleet.Report(&wire.Report{Host: host, Rig: "g8", Yard: "a", Shift: 1, Tick: 1, Baton: c.term}, now)
-		m.Type, m.Cap = "g8", provision.Cap(&c.cat.Rigs[0])
+		m, _ := c.fleet.Report(&wire.Report{Host: host, MachineType: "g8", Zone: "a", Session: 1, Sequence: 1, Token: c.term}, now)
+		m.Type, m.Cap = "g8", provision.Cap(&c.cat.MachineTypes[0])
 	}
-	per := ledger.LegsPerPiece(c.Config.CurrentValueBytes(), c.Config.ValueBytes())
+	per := ledger.TasksPerPiece(c.Config.CurrentValueBytes(), c.Config.ValueBytes())
 	spec := wire.Work{UID: "run-000001", Crew: "crew", Shape: wire.Sweep, Legs: 2 * per, Cores: 1, RAMGb: 1, Rollout: "i", Rank: wire.High}
 	c.takeJob(spec.UID, ledger.Entry{Job: &ledger.Job{Spec: spec, Status: wire.JobQueued, Per: per}, Stamp: 1})
 	c.round(time.Second)
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -167,9 +167,9 @@
 		}
 		for _, pl := range j.load(n, row) {
 			m := c.fleet.Know(pl.Host, now)
-			a := &fleet.Attempt{UID: uid, Task: pl.Leg, Try: pl.Try, Session: pl.Shift, Need: j.need,
+			a := &fleet.Attempt{UID: uid, Task: pl.Task, Try: pl.Try, Session: pl.Session, Need: j.need,
 				Image: j.rec.Spec.Rollout, Inherited: true}
-			j.pieces[n].live[pl.Leg] = a
+			j.pieces[n].live[pl.Task] = a
 			j.live++
 			c.fleet.Place(m, a, now)
 			inherited++
--- a/internal/controller/load_test.go
+++ b/internal/controller/load_test.go
@@ -33,7 +33,7 @@
 // recordsOfTwoTasks are a job with two tasks on machines, and a machine that is returned.
 func recordsOfTwoTasks() map[string][]wire.Item {
 	job := ledger.Job{Spec: wire.Work{UID: "run-000001", Berth: "serve", Shape: wire.Standing, Rank: wire.High, Legs: 2, Cores: 1, Rollout: "img"}, Status: wire.JobQueued, Per: 8}
-	piece := ledger.Piece{Next: 3, Live: []ledger.Placed{{Leg: 0, Try: 1, Host: "m-1", Shift: 1}, {Leg: 1, Try: 2, Host: "m-2", Shift: 1}}}
+	piece := ledger.Piece{Next: 3, Live: []ledger.Placed{{Task: 0, Try: 1, Host: "m-1", Session: 1}, {Task: 1, Try: 2, Host: "m-2", Session: 1}}}
 	return map[string][]wire.Item{
 		ledger.JobPrefix:     {{Key: ledger.JobKey("run-000001"), Value: ledger.Encode(job), Stamp: 2}},
 		ledger.PiecePrefix:   {{Key: ledger.PieceKey("run-000001", 0), Value: ledger.Encode(piece), Stamp: 3}},
@@ -89,8 +89,8 @@
 			}
 		})
 		// The machine is in the session that its task is known from, whatever the view says.
-		c.fleet.Report(&wire.Report{Host: "m-1", Yard: "a", Shift: 1, Tick: 7, Baton: 5,
-			Legs: []wire.LegReport{{Leg: "run-000001/0", Try: 1, Status: wire.LegRunning}}}, now)
+		c.fleet.Report(&wire.Report{Host: "m-1", Zone: "a", Session: 1, Sequence: 7, Token: 5,
+			Tasks: []wire.TaskReport{{Task: "run-000001/0", Try: 1, Status: wire.TaskRunning}}}, now)
 		if a := j.attempt(0); a == nil || a.State != fleet.Running {
 			t.Errorf("%s: a running task is not taken over", proof.name)
 		}
@@ -142,8 +142,8 @@
 	}
 	m := c.fleet.Get("m-007")
 	c.fleet.Place(m, &fleet.Attempt{UID: "run-000001", Try: 1, Session: 1, Inherited: true}, now)
-	c.fleet.Report(&wire.Report{Host: "m-007", Yard: "b", Shift: 1, Tick: 2, Baton: 5,
-		Legs: []wire.LegReport{{Leg: "run-000001/0", Try: 1, Status: wire.LegRunning}}}, now)
+	c.fleet.Report(&wire.Report{Host: "m-007", Zone: "b", Session: 1, Sequence: 2, Token: 5,
+		Tasks: []wire.TaskReport{{Task: "run-000001/0", Try: 1, Status: wire.TaskRunning}}}, now)
 	if keys := fmt.Sprint(take()); keys != "[view/job/run-000001 view/leader view/machine/m-007]" {
 		t.Errorf("changed views are %s", keys)
 	}
--- a/internal/controller/machines_test.go
+++ b/internal/controller/machines_test.go
@@ -33,7 +33,7 @@
 	if i%2 == 1 {
 		yard = "b"
 	}
-	c.fleet.Report(&wire.Report{Host: fmt.Sprintf("m-%03d", i), Yard: yard, Shift: 1, Tick: tick, Baton: 5}, now)
+	c.fleet.Report(&wire.Report{Host: fmt.Sprintf("m-%03d", i), Zone: yard, Session: 1, Sequence: tick, Token: 5}, now)
 }
 
 // A cut between zones silences machines one after the other, as their reports
@@ -101,7 +101,7 @@
 func TestSpotSpent(t *testing.T) {
 	now := time.Unix(1000, 0)
 	c := watched(&now)
-	c.cat = &wire.Catalog{Rigs: []wire.Rig{{Sku: "g8", Cores: 64, Gpus: 8, RAMGb: 512, Yards: []string{"a", "b"}}, {Sku: "g1", Cores: 8, Gpus: 1, RAMGb: 32, Yards: []string{"a"}}}}
+	c.cat = &wire.Catalog{MachineTypes: []wire.MachineType{{Name: "g8", Cores: 64, Gpus: 8, RAMGb: 512, Zones: []string{"a", "b"}}, {Name: "g1", Cores: 8, Gpus: 1, RAMGb: 32, Zones: []string{"a"}}}}
 	w := &wire.Work{Cores: 16, Gpus: 2, RAMGb: 64, Standby: true}
 	spent := func(want bool, when string) {
 		if got := c.spotSpent(w, now); got != want {
@@ -138,7 +138,7 @@
 	} {
 		now := time.Unix(1000, 0)
 		c := watched(&now)
-		c.cat = &wire.Catalog{Rigs: []wire.Rig{{Sku: "g8", Cores: 64, Gpus: 8, RAMGb: 512, Yards: []string{"a", "b"}}}}
+		c.cat = &wire.Catalog{MachineTypes: []wire.MachineType{{Name: "g8", Cores: 64, Gpus: 8, RAMGb: 512, Zones: []string{"a", "b"}}}}
 		c.Heard, c.Rounded = func() []string { return nil }, func(time.Duration) {}
 		lost := func() int {
 			n := 0
@@ -217,13 +217,13 @@
 		c := watched(&now)
 		c.Config.Cluster.State.WriteRps, c.Config.Cluster.State.TxnOps = 100, 24
 		c.Config.Cluster.Teams = []config.Team{{Name: "crew"}}
-		c.cat = &wire.Catalog{Rigs: []wire.Rig{{Sku: "g8", Cores: 64, Gpus: 8, RAMGb: 512, Yards: []string{"a", "b"}}}}
+		c.cat = &wire.Catalog{MachineTypes: []wire.MachineType{{Name: "g8", Cores: 64, Gpus: 8, RAMGb: 512, Zones: []string{"a", "b"}}}}
 		c.Heard, c.Rounded = func() []string { return nil }, func(time.Duration) {}
 		c.Mirror.Reset(nil, 0, now)
 		for i := range 40 {
 			c.hearFrom(i, 1, now)
 			m := c.fleet.Get(fmt.Sprintf("m-%03d", i))
-			m.Type, m.Cap = "g8", provision.Cap(&c.cat.Rigs[0])
+			m.Type, m.Cap = "g8", provision.Cap(&c.cat.MachineTypes[0])
 		}
 		spec := wire.Work{Crew: "crew", Shape: wire.Standing, Legs: 1, Cores: 1, Gpus: 1, RAMGb: 1, Rollout: "i", Rank: wire.High}
 		for i := range 250 {
@@ -252,7 +252,7 @@
 	now := time.Now()
 	c := watched(&now)
 	c.Deps.Config.Cluster.Teams = []config.Team{{Name: "crew"}}
-	c.cat = &wire.Catalog{Rigs: []wire.Rig{{Sku: "g", Cores: 8, Gpus: 8, RAMGb: 8, BootS: 30, Yards: []string{"a"}}}}
+	c.cat = &wire.Catalog{MachineTypes: []wire.MachineType{{Name: "g", Cores: 8, Gpus: 8, RAMGb: 8, BootS: 30, Zones: []string{"a"}}}}
 	array := func(uid string, legs int, ago time.Duration) *job {
 		spec := wire.Work{UID: uid, Berth: "batch", Crew: "crew", Shape: wire.Sweep, Rank: wire.Standard, Legs: legs, Cores: 1, Gpus: 1, RAMGb: 1}
 		e := ledger.Entry{Job: &ledger.Job{Spec: spec, Status: wire.JobQueued, Per: 16, AtMs: now.Add(-ago).UnixMilli()}, Stamp: 1}
@@ -281,12 +281,12 @@
 	a := &fleet.Attempt{UID: large.uid, Task: 0, Try: 1, Need: large.need}
 	large.piece(0).live[0] = a
 	large.live++
-	c.fleet.Report(&wire.Report{Host: "m", Rig: "g", Yard: "a", Shift: 1, Tick: 1, Baton: 5}, now)
+	c.fleet.Report(&wire.Report{Host: "m", MachineType: "g", Zone: "a", Session: 1, Sequence: 1, Token: 5}, now)
 	c.fleet.Place(c.fleet.Get("m"), a, now)
 	c.fleet.Commit(a, now)
-	for tick, status := range []wire.LegStatus{wire.LegRunning, wire.LegEnded} {
-		c.fleet.Report(&wire.Report{Host: "m", Rig: "g", Yard: "a", Shift: 1, Tick: uint64(2 + tick), Baton: 5,
-			Legs: []wire.LegReport{{Leg: a.Name(), Try: 1, Status: status, Cause: wire.CauseStopped}}}, now)
+	for tick, status := range []wire.TaskStatus{wire.TaskRunning, wire.TaskEnded} {
+		c.fleet.Report(&wire.Report{Host: "m", MachineType: "g", Zone: "a", Session: 1, Sequence: uint64(2 + tick), Token: 5,
+			Tasks: []wire.TaskReport{{Task: a.Name(), Try: 1, Status: status, Cause: wire.CauseStopped}}}, now)
 	}
 	if uids, _ := order(); len(uids) != 14 || uids[0] == large.uid || large.live != 0 {
 		t.Errorf("after it has begun, the order is %v", uids)
@@ -304,7 +304,7 @@
 	c.RelayReached = func(string) bool { return true }
 	report := func(i int, via string, at time.Time) {
 		host := fmt.Sprintf("m-%03d", i)
-		c.fleet.Report(&wire.Report{Host: host, Yard: "a", Shift: 1, Tick: uint64(at.UnixMilli()), Baton: 5}, at)
+		c.fleet.Report(&wire.Report{Host: host, Zone: "a", Session: 1, Sequence: uint64(at.UnixMilli()), Token: 5}, at)
 		c.fleet.Get(host).Via = via
 	}
 	for i := range own {
--- a/internal/controller/nodes_test.go
+++ b/internal/controller/nodes_test.go
@@ -24,14 +24,14 @@
 		c.Rounded, c.Heard = func(time.Duration) {}, func() []string { return nil }
 		c.Mirror.Reset(nil, 1, now)
 		c.Deps.Config.Cluster.Teams = []config.Team{{Name: "crew"}}
-		c.cat = &wire.Catalog{Rigs: []wire.Rig{{Sku: "g8", Cores: 64, Gpus: 8, RAMGb: 512, BootS: 30, Hourly: 20, LowPrice: 5, Yards: []string{"a", "b"}}}}
+		c.cat = &wire.Catalog{MachineTypes: []wire.MachineType{{Name: "g8", Cores: 64, Gpus: 8, RAMGb: 512, BootS: 30, Hourly: 20, LowPrice: 5, Zones: []string{"a", "b"}}}}
 		machine := func() *fleet.Machine {
 			return c.fleet.Get(fmt.Sprintf("m-%d", rapid.IntRange(0, 5).Draw(t, "machine")))
 		}
 		jobs, tick := 0, uint64(0)
-		report := func(m string, session uint64, legs []wire.LegReport) {
+		report := func(m string, session uint64, legs []wire.TaskReport) {
 			tick++
-			r := wire.Report{Host: m, Rig: "g8", Yard: "a", Standby: m == "m-1", Shift: session, Tick: tick, Baton: c.term, Legs: legs}
+			r := wire.Report{Host: m, MachineType: "g8", Zone: "a", Spot: m == "m-1", Session: session, Sequence: tick, Token: c.term, Tasks: legs}
 			if rapid.IntRange(0, 30).Draw(t, "notice") == 0 {
 				r.WarningS = new(float64)
 			}
@@ -55,12 +55,12 @@
 		actions := map[string]func(t *rapid.T){
 			"report": func(t *rapid.T) {
 				id := fmt.Sprintf("m-%d", rapid.IntRange(0, 5).Draw(t, "host"))
-				var legs []wire.LegReport
+				var legs []wire.TaskReport
 				if m := c.fleet.Get(id); m != nil {
 					m.Each(func(a *fleet.Attempt) {
-						states := []wire.LegStatus{wire.LegFetching, wire.LegRunning, wire.LegSaving, wire.LegEnded}
-						l := wire.LegReport{Leg: a.Name(), Try: a.Try, Status: rapid.SampledFrom(states).Draw(t, "status")}
-						if l.Status == wire.LegEnded {
+						states := []wire.TaskStatus{wire.TaskFetching, wire.TaskRunning, wire.TaskSaving, wire.TaskEnded}
+						l := wire.TaskReport{Task: a.Name(), Try: a.Try, Status: rapid.SampledFrom(states).Draw(t, "status")}
+						if l.Status == wire.TaskEnded {
 							l.Cause = rapid.SampledFrom([]wire.Cause{wire.CauseDone, wire.CauseError, wire.CauseStopped}).Draw(t, "cause")
 						}
 						if rapid.IntRange(0, 5).Draw(t, "missing") > 0 {
@@ -69,7 +69,7 @@
 					})
 				}
 				if rapid.IntRange(0, 5).Draw(t, "orphan") == 0 {
-					legs = append(legs, wire.LegReport{Leg: "run-999999/0", Try: 1, Status: wire.LegRunning})
+					legs = append(legs, wire.TaskReport{Task: "run-999999/0", Try: 1, Status: wire.TaskRunning})
 				}
 				report(id, 1+uint64(rapid.IntRange(0, 20).Draw(t, "session"))/20, legs)
 			},
@@ -113,11 +113,11 @@
 				}
 			},
 			"list": func(t *rapid.T) {
-				hosts := []wire.ListedHost{{UID: "m-0", Rig: "g8", Yard: "a", Status: wire.HostFailed}, {UID: "m-6", Rig: "g8", Yard: "b", AgeS: 5, Status: "booting"}}
+				hosts := []wire.ListedHost{{UID: "m-0", MachineType: "g8", Zone: "a", Status: wire.HostFailed}, {UID: "m-6", MachineType: "g8", Zone: "b", AgeS: 5, Status: "booting"}}
 				c.listed(hosts[rapid.IntRange(0, 1).Draw(t, "from"):], now)
 			},
 			"price": func(t *rapid.T) {
-				c.cat.Rigs[0].LowPrice++
+				c.cat.MachineTypes[0].LowPrice++
 				c.fleet.Each(c.fleet.Touch)
 			},
 			"return": func(t *rapid.T) {
--- a/internal/controller/picture.go
+++ b/internal/controller/picture.go
@@ -75,9 +75,9 @@
 func (c *Controller) rentalNodes() []sched.Node {
 	var nodes []sched.Node
 	for _, r := range c.pending {
-		room := provision.Cap(c.machineType(r.req.Rig))
-		n := sched.Node{ID: r.req.Booking, Type: r.req.Rig, Zone: r.req.Yard, Spot: r.req.Standby,
-			Cap: room, Later: room, Price: c.price(r.req.Rig, r.req.Standby)}
+		room := provision.Cap(c.machineType(r.req.MachineType))
+		n := sched.Node{ID: r.req.Booking, Type: r.req.MachineType, Zone: r.req.Zone, Spot: r.req.Spot,
+			Cap: room, Later: room, Price: c.price(r.req.MachineType, r.req.Spot)}
 		for range r.req.HowMany {
 			nodes = append(nodes, n)
 		}
@@ -90,7 +90,7 @@
 func (c *Controller) waitingJob(j *job, now time.Time) *sched.Job {
 	spec := &j.rec.Spec
 	waiting := j.waiting()
-	if waiting == 0 || now.Before(j.hold) {
+	if waiting == 0 || now.Before(j.heldUntil) {
 		return nil
 	}
 	if spec.Shape == wire.Group && j.live > 0 {
@@ -152,7 +152,7 @@
 	usual := c.arrive[s.Berth]
 	return s.Shape == wire.Sweep && !s.Together && !j.begun && j.done == 0 && j.live == 0 &&
 		now.Sub(time.UnixMilli(j.fromMs)) > beginLeases*c.Config.Lease() &&
-		usual != nil && float64(s.Legs*s.Legs) >= usual.legs2
+		usual != nil && float64(s.Legs*s.Legs) >= usual.tasksSquared
 }
 
 // avoids names the machine that a job failed on lately. A job that failed on
@@ -173,13 +173,13 @@
 // job when it was last asked: work that waited for one was only late. From time
 // to time the refusals run out, and it is asked again.
 func (c *Controller) spotSpent(w *wire.Work, now time.Time) bool {
-	for i := range c.cat.Rigs {
-		r := &c.cat.Rigs[i]
+	for i := range c.cat.MachineTypes {
+		r := &c.cat.MachineTypes[i]
 		if !provision.Cap(r).Holds(fleet.Need(w)) {
 			continue
 		}
-		for _, yard := range r.Yards {
-			if sched.Allowed(w, r.Sku, yard, true) && !now.Before(c.refused[provision.Group{Type: r.Sku, Zone: yard, Spot: true}].until) {
+		for _, yard := range r.Zones {
+			if sched.Allowed(w, r.Name, yard, true) && !now.Before(c.refused[provision.Group{Type: r.Name, Zone: yard, Spot: true}].until) {
 				return false
 			}
 		}
@@ -218,8 +218,8 @@
 		return 4*c.bootS(s) - now.Sub(j.waitFrom).Seconds()
 	}
 	fetch := 0.0
-	for i := range c.cat.Rigs {
-		if r := &c.cat.Rigs[i]; r.PullGbPerS > 0 {
+	for i := range c.cat.MachineTypes {
+		if r := &c.cat.MachineTypes[i]; r.PullGbPerS > 0 {
 			fetch = max(fetch, s.ImageGb/r.PullGbPerS)
 		}
 	}
@@ -229,8 +229,8 @@
 // bootS is how long the quickest machine that may run a task of the job boots.
 func (c *Controller) bootS(w *wire.Work) float64 {
 	boot := math.Inf(1)
-	for i := range c.cat.Rigs {
-		if r := &c.cat.Rigs[i]; provision.Cap(r).Holds(fleet.Need(w)) && (len(w.Rigs) == 0 || slices.Contains(w.Rigs, r.Sku)) {
+	for i := range c.cat.MachineTypes {
+		if r := &c.cat.MachineTypes[i]; provision.Cap(r).Holds(fleet.Need(w)) && (len(w.Rigs) == 0 || slices.Contains(w.Rigs, r.Name)) {
 			boot = min(boot, r.BootS)
 		}
 	}
@@ -246,8 +246,8 @@
 		if o.Kind != "wait" || o.Class != w.Berth {
 			continue
 		}
-		for i := range c.cat.Rigs {
-			r := &c.cat.Rigs[i]
+		for i := range c.cat.MachineTypes {
+			r := &c.cat.MachineTypes[i]
 			if provision.Cap(r).Holds(fleet.Need(w)) && r.PullGbPerS > 0 {
 				slack = min(slack, o.WithinS-w.ImageGb/r.PullGbPerS*4/3-c.Config.Cluster.Workers.ReportS)
 			}
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -26,7 +26,7 @@
 // again.
 func (c *Controller) book(r provision.Rent) *rental {
 	c.rents++
-	req := wire.RentRequest{Booking: fmt.Sprintf("lt-%d-%d", c.term, c.rents), Rig: r.Type, Yard: r.Zone, Standby: r.Spot, HowMany: r.Count}
+	req := wire.RentRequest{Booking: fmt.Sprintf("lt-%d-%d", c.term, c.rents), MachineType: r.Type, Zone: r.Zone, Spot: r.Spot, HowMany: r.Count}
 	out := &rental{req}
 	c.pending[req.Booking] = out
 	return out
@@ -35,11 +35,11 @@
 // rent asks the cloud until it answers, for a while.
 func (c *Controller) rent(ctx context.Context, r *rental) {
 	pause := c.Config.ListLag() / 4
-	group := provision.Group{Type: r.req.Rig, Zone: r.req.Yard, Spot: r.req.Standby}
+	group := provision.Group{Type: r.req.MachineType, Zone: r.req.Zone, Spot: r.req.Spot}
 	for try := 0; try < 4 && ctx.Err() == nil; try++ {
 		hosts, err := c.Cloud.Rent(ctx, r.req)
 		if err == nil {
-			slog.Info("rented", "booking", r.req.Booking, "rig", r.req.Rig, "yard", r.req.Yard, "standby", r.req.Standby, "asked", r.req.HowMany, "hosts", hosts)
+			slog.Info("rented", "booking", r.req.Booking, "rig", r.req.MachineType, "yard", r.req.Zone, "standby", r.req.Spot, "asked", r.req.HowMany, "hosts", hosts)
 			c.mu.Lock()
 			now := c.now()
 			delete(c.pending, r.req.Booking)
@@ -49,14 +49,14 @@
 			}
 			for _, h := range hosts {
 				m := c.fleet.Know(h, now)
-				m.Type, m.Zone, m.Spot = r.req.Rig, r.req.Yard, r.req.Standby
+				m.Type, m.Zone, m.Spot = r.req.MachineType, r.req.Zone, r.req.Spot
 				c.fleet.Touch(m)
 				c.capacity(m)
 			}
 			c.mu.Unlock()
 			return
 		}
-		slog.Info("rental failed", "booking", r.req.Booking, "rig", r.req.Rig, "yard", r.req.Yard, "standby", r.req.Standby, "err", err)
+		slog.Info("rental failed", "booking", r.req.Booking, "rig", r.req.MachineType, "yard", r.req.Zone, "standby", r.req.Spot, "err", err)
 		if errors.Is(err, cloud.ErrNoCapacity) {
 			c.mu.Lock()
 			c.refuse(group, c.now())
@@ -87,7 +87,7 @@
 			cat, err := c.Cloud.Catalog(ctx)
 			if err != nil {
 				slog.Warn("no catalog", "err", err)
-			} else if len(cat.Rigs) > 0 {
+			} else if len(cat.MachineTypes) > 0 {
 				priced = now
 				c.mu.Lock()
 				c.cat = &cat
@@ -124,7 +124,7 @@
 		}
 		if !m.Listed {
 			m.Listed = true
-			m.Type, m.Zone, m.Spot, m.Address = h.Rig, h.Yard, h.Standby, h.Address
+			m.Type, m.Zone, m.Spot, m.Address = h.MachineType, h.Zone, h.Spot, h.Address
 			if born := asked.Add(-time.Duration(h.AgeS * float64(time.Second))); born.Before(m.Born) {
 				m.Born = born
 			}
--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -92,9 +92,9 @@
 	return c.provision(p, plan, now)
 }
 
-// maxLegs is how many tasks a machine may have: a hundred bytes each is what a
+// maxTasks is how many tasks a machine may have: a hundred bytes each is what a
 // report takes for one.
-const maxLegs = wire.MaxBody / 100
+const maxTasks = wire.MaxBody / 100
 
 // start turns the places of a plan into planned attempts, within the write
 // budget; what overflows waits for a later round. Only what is going to be
@@ -120,7 +120,7 @@
 		if m == nil || budget <= 0 && !j.writes(now) {
 			continue
 		}
-		if m.LiveCount()+pl.Count > maxLegs {
+		if m.LiveCount()+pl.Count > maxTasks {
 			continue // its report would not fit a body
 		}
 		for _, leg := range j.pick(pl.Count) {
--- a/internal/controller/size_test.go
+++ b/internal/controller/size_test.go
@@ -81,7 +81,7 @@
 	c.fleet = fleet.New(term, c.Config.Lease(), c)
 	c.Rounded, c.Heard = func(time.Duration) {}, func() []string { return nil }
 	c.Config.Cluster.State, c.Config.Cluster.Teams = l.limits, []config.Team{{Name: "crew"}}
-	c.cat = &wire.Catalog{Rigs: []wire.Rig{{Sku: "g8", Cores: 64, Gpus: 8, RAMGb: 512, BootS: 30, Yards: []string{"a", "b"}}}}
+	c.cat = &wire.Catalog{MachineTypes: []wire.MachineType{{Name: "g8", Cores: 64, Gpus: 8, RAMGb: 512, BootS: 30, Zones: []string{"a", "b"}}}}
 	c.Mirror.Reset(nil, 1, *now)
 	if err := c.load(context.Background()); err != nil {
 		l.t.Fatal(err)
@@ -98,20 +98,20 @@
 		services := &limited{t: t, limits: config.StateLimits{Rps: 900, WriteRps: 350, ValueKb: 8, TxnOps: 24}, items: map[string]wire.Item{}, returned: map[string]bool{}}
 		c := services.leaderOf(5, &now)
 		spec := wire.Work{UID: "run-000001", Berth: "batch", Crew: "crew", Shape: wire.Sweep, Rank: wire.High, Legs: machines, Cores: 64, Gpus: 8, RAMGb: 512, Rollout: "img"}
-		rec := ledger.Job{Spec: spec, Status: wire.JobQueued, Per: ledger.LegsPerPiece(8192, 8192)}
+		rec := ledger.Job{Spec: spec, Status: wire.JobQueued, Per: ledger.TasksPerPiece(8192, 8192)}
 		services.items[ledger.JobKey(spec.UID)] = wire.Item{Key: ledger.JobKey(spec.UID), Value: ledger.Encode(rec), Stamp: 1}
 		c.takeJob(spec.UID, ledger.Entry{Job: &rec, Stamp: 1})
 		var hosts []wire.ListedHost
 		for i := range machines {
-			hosts = append(hosts, wire.ListedHost{UID: fmt.Sprintf("m-%06d", i), Rig: "g8", Yard: []string{"a", "b"}[i%2], Status: "running"})
+			hosts = append(hosts, wire.ListedHost{UID: fmt.Sprintf("m-%06d", i), MachineType: "g8", Zone: []string{"a", "b"}[i%2], Status: "running"})
 		}
 		c.listed(hosts, now)
 		report := func(c *Controller, tick uint64) (launches int) {
 			for i := range hosts {
-				r := wire.Report{Host: hosts[i].UID, Rig: "g8", Yard: hosts[i].Yard, Shift: 1, Tick: tick, Baton: c.term}
+				r := wire.Report{Host: hosts[i].UID, MachineType: "g8", Zone: hosts[i].Zone, Session: 1, Sequence: tick, Token: c.term}
 				c.fleet.Get(r.Host).Each(func(a *fleet.Attempt) {
 					if a.State != fleet.Planned && a.State != fleet.Committed || a.Inherited {
-						r.Legs = append(r.Legs, wire.LegReport{Leg: a.Name(), Try: a.Try, Status: wire.LegRunning})
+						r.Tasks = append(r.Tasks, wire.TaskReport{Task: a.Name(), Try: a.Try, Status: wire.TaskRunning})
 					}
 				})
 				o, _ := c.CheckIn(t.Context(), &r, CheckInOptions{})
--- a/internal/controller/spare.go
+++ b/internal/controller/spare.go
@@ -14,11 +14,11 @@
 
 // arrivals measures how often jobs of a class come, with old ones fading.
 type arrivals struct {
-	spec  *wire.Work
-	level int
-	count float64 // jobs, each less the longer ago it came
-	legs2 float64 // tasks of a job, squared, on the mean
-	at    time.Time
+	spec         *wire.Work
+	level        int
+	count        float64 // jobs, each less the longer ago it came
+	tasksSquared float64 // tasks of a job, squared, on the mean
+	at           time.Time
 }
 
 // fade is how long ago a job must have come to count as little as 1/e. It is
@@ -38,11 +38,11 @@
 	s, legs := &j.rec.Spec, float64(j.rec.Spec.Legs)
 	a := c.arrive[s.Berth]
 	if a == nil {
-		a = &arrivals{at: now, legs2: legs * legs}
+		a = &arrivals{at: now, tasksSquared: legs * legs}
 		c.arrive[s.Berth] = a
 	}
 	a.spec, a.level = s, s.Rank.Level()
-	a.legs2 += (legs*legs - a.legs2) / 8
+	a.tasksSquared += (legs*legs - a.tasksSquared) / 8
 	a.fade(now, c.fadeS())
 	a.count++
 }
@@ -58,7 +58,7 @@
 		}
 		a.fade(now, c.fadeS())
 		perS := a.count / c.fadeS()
-		n := int(math.Ceil(factor * float64(provision.Spare(perS, a.legs2, c.bootS(a.spec)))))
+		n := int(math.Ceil(factor * float64(provision.Spare(perS, a.tasksSquared, c.bootS(a.spec)))))
 		spec := *a.spec // of all phantoms of the class
 		spec.UID, spec.Legs, spec.Shape, spec.Together, spec.Scatter = "", 1, wire.Sweep, false, false
 		fetch := c.slackS(a.spec) < 0
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -121,7 +121,7 @@
 	if j == nil {
 		return standby.NoJob(uid), nil
 	}
-	v := standby.JobView{UID: uid, Begun: j.begun, Fails: j.fails, HoldMs: milliseconds(j.hold), WaitMs: milliseconds(j.waitFrom)}
+	v := standby.JobView{UID: uid, Begun: j.begun, Fails: j.fails, HoldMs: milliseconds(j.heldUntil), WaitMs: milliseconds(j.waitFrom)}
 	var running []standby.RunningTask
 	j.each(func(a *fleet.Attempt) {
 		if !a.RunAt.IsZero() {
@@ -141,7 +141,7 @@
 		v.Refusals = append(v.Refusals, standby.Refusal{Type: g.Type, Zone: g.Zone, Spot: g.Spot, UntilMs: milliseconds(r.until), PauseMs: r.pause.Milliseconds()})
 	}
 	for class, a := range c.arrive {
-		v.Arrivals = append(v.Arrivals, standby.Arrival{Class: class, Job: *a.spec, Count: a.count, TasksSquare: a.legs2, AtMs: milliseconds(a.at)})
+		v.Arrivals = append(v.Arrivals, standby.Arrival{Class: class, Job: *a.spec, Count: a.count, TasksSquare: a.tasksSquared, AtMs: milliseconds(a.at)})
 	}
 	return v
 }
@@ -175,7 +175,7 @@
 	}
 	for _, a := range p.Leader.Arrivals {
 		job := a.Job
-		c.arrive[a.Class] = &arrivals{spec: &job, level: job.Rank.Level(), count: a.Count, legs2: a.TasksSquare, at: fromMilliseconds(a.AtMs)}
+		c.arrive[a.Class] = &arrivals{spec: &job, level: job.Rank.Level(), count: a.Count, tasksSquared: a.TasksSquare, at: fromMilliseconds(a.AtMs)}
 	}
 	if w := p.Leader.Window; w > 0 {
 		c.window = min(w, c.Settings().Window)
@@ -198,7 +198,7 @@
 			slog.Warn("running tasks are not known", "err", err)
 			continue
 		}
-		j.begun, j.fails, j.hold = j.begun || v.Begun, max(j.fails, v.Fails), fromMilliseconds(v.HoldMs)
+		j.begun, j.fails, j.heldUntil = j.begun || v.Begun, max(j.fails, v.Fails), fromMilliseconds(v.HoldMs)
 		if from := fromMilliseconds(v.WaitMs); !from.IsZero() && from.Before(j.waitFrom) {
 			j.waitFrom = from
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -84,8 +84,8 @@
 func Need(w *wire.Work) Res { return Res{w.Cores, w.Gpus, w.RAMGb} }
 
 type attemptKey struct {
-	leg string
-	try uint64
+	task string
+	try  uint64
 }
 
 // Attempt is one try of one task on one machine.
@@ -110,14 +110,14 @@
 }
 
 // Name is the task's name.
-func (a *Attempt) Name() string { return wire.LegName(a.UID, a.Task) }
+func (a *Attempt) Name() string { return wire.TaskName(a.UID, a.Task) }
 
 // Live reports whether the attempt may be on its machine, now or later.
 func (a *Attempt) Live() bool { return a.State < Ended }
 
 // orphan is a task that a machine reports and no record knows.
 type orphan struct {
-	leg   string
+	task  string
 	try   uint64
 	ended bool
 }
@@ -398,16 +398,16 @@
 // changes nothing and gets no orders.
 func (f *Fleet) Report(r *wire.Report, now time.Time) (m *Machine, fresh bool) {
 	m = f.Know(r.Host, now)
-	if m.State == Gone || r.Shift < m.Session || (r.Shift == m.Session && r.Tick <= m.Sequence) {
+	if m.State == Gone || r.Session < m.Session || (r.Session == m.Session && r.Sequence <= m.Sequence) {
 		return m, false
 	}
 	f.Touch(m)
 	newSession := f.noteReport(m, r, now)
 	reported := reportedAttempts(m, r)
-	confirmed := r.Baton == f.term
+	confirmed := r.Token == f.term
 	for k, a := range m.attempts {
 		switch l := reported[k]; {
-		case a.Session < r.Shift:
+		case a.Session < r.Session:
 			// The worker killed and forgot everything of earlier sessions, and
 			// drops every answer to a report of an earlier session.
 			f.setAttempt(a, Off, now, "machine has a new session")
@@ -428,9 +428,9 @@
 // noteReport takes what a fresh report says of its machine, and reports whether the machine
 // has begun a new session.
 func (f *Fleet) noteReport(m *Machine, r *wire.Report, now time.Time) (newSession bool) {
-	newSession, answeredAgo := r.Shift > m.Session && m.Session != 0, now.Sub(m.answered)
-	m.Session, m.Sequence, m.Heard, m.Reported, m.answered = r.Shift, r.Tick, now, now, now
-	m.Address, m.Type, m.Zone, m.Spot = r.Address, r.Rig, r.Yard, r.Standby
+	newSession, answeredAgo := r.Session > m.Session && m.Session != 0, now.Sub(m.answered)
+	m.Session, m.Sequence, m.Heard, m.Reported, m.answered = r.Session, r.Sequence, now, now, now
+	m.Address, m.Type, m.Zone, m.Spot = r.Address, r.MachineType, r.Zone, r.Spot
 	if r.WarningS != nil {
 		m.Warned = true
 	}
@@ -448,15 +448,15 @@
 
 // reportedAttempts finds the attempts of a report, and notes those that no record knows as
 // the machine's orphans.
-func reportedAttempts(m *Machine, r *wire.Report) map[attemptKey]*wire.LegReport {
-	reported := make(map[attemptKey]*wire.LegReport, len(r.Legs))
+func reportedAttempts(m *Machine, r *wire.Report) map[attemptKey]*wire.TaskReport {
+	reported := make(map[attemptKey]*wire.TaskReport, len(r.Tasks))
 	m.orphans = m.orphans[:0]
-	for i := range r.Legs {
-		l := &r.Legs[i]
-		k := attemptKey{l.Leg, l.Try}
+	for i := range r.Tasks {
+		l := &r.Tasks[i]
+		k := attemptKey{l.Task, l.Try}
 		reported[k] = l
 		if m.attempts[k] == nil {
-			m.orphans = append(m.orphans, orphan{l.Leg, l.Try, l.Status == wire.LegEnded})
+			m.orphans = append(m.orphans, orphan{l.Task, l.Try, l.Status == wire.TaskEnded})
 		}
 	}
 	return reported
@@ -464,7 +464,7 @@
 
 // missing takes into account that a fresh report of an attempt's session lacks it.
 func (f *Fleet) missing(a *Attempt, r *wire.Report, now time.Time) {
-	confirmed := r.Baton == f.term
+	confirmed := r.Token == f.term
 	switch a.State {
 	case Committed:
 		// An earlier term's launch can only have travelled in an answer
@@ -475,7 +475,7 @@
 	case Sent:
 		// The worker has one report in flight: since it sent this one, it
 		// drops the answer that carried the launch.
-		if r.Tick > a.SentSequence {
+		if r.Sequence > a.SentSequence {
 			f.launchMissed(a, now)
 		}
 	case Fetching, Running, Saving, Ended:
@@ -502,7 +502,7 @@
 }
 
 // observe takes the reported state of an attempt.
-func (f *Fleet) observe(a *Attempt, l *wire.LegReport, now time.Time) {
+func (f *Fleet) observe(a *Attempt, l *wire.TaskReport, now time.Time) {
 	if a.State == Sent {
 		a.Machine.MissedLaunches = 0
 	}
@@ -511,9 +511,9 @@
 		return
 	}
 	switch l.Status {
-	case wire.LegFetching, wire.LegWaiting:
+	case wire.TaskFetching, wire.TaskWaiting:
 		f.setAttempt(a, Fetching, now, "reported")
-	case wire.LegRunning:
+	case wire.TaskRunning:
 		if a.RunAt.IsZero() {
 			a.RunAt = now
 		}
@@ -521,9 +521,9 @@
 			a.Machine.Images[a.Image] = now
 		}
 		f.setAttempt(a, Running, now, "reported")
-	case wire.LegSaving:
+	case wire.TaskSaving:
 		f.setAttempt(a, Saving, now, "reported")
-	case wire.LegEnded:
+	case wire.TaskEnded:
 		a.Cause, a.Kept = l.Cause, l.Kept
 		f.setAttempt(a, Ended, now, string(l.Cause))
 	}
@@ -535,9 +535,9 @@
 	orders := []wire.Order{}
 	for _, s := range m.orphans {
 		if s.ended {
-			orders = append(orders, wire.Order{Verb: wire.Reap, Leg: s.leg, Try: s.try})
+			orders = append(orders, wire.Order{Verb: wire.Reap, Leg: s.task, Try: s.try})
 		} else {
-			orders = append(orders, wire.Order{Verb: wire.Stop, Leg: s.leg, Try: s.try})
+			orders = append(orders, wire.Order{Verb: wire.Stop, Leg: s.task, Try: s.try})
 		}
 	}
 	for _, a := range m.attempts {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -20,12 +20,12 @@
 
 const lease = 10 * time.Second
 
-func report(shift, tick, baton uint64, legs ...wire.LegReport) *wire.Report {
-	return &wire.Report{Host: "m-1", Address: "x", Rig: "g8", Yard: "a", Shift: shift, Tick: tick, Baton: baton, Legs: legs}
+func report(shift, tick, baton uint64, legs ...wire.TaskReport) *wire.Report {
+	return &wire.Report{Host: "m-1", Address: "x", MachineType: "g8", Zone: "a", Session: shift, Sequence: tick, Token: baton, Tasks: legs}
 }
 
-func running(leg string, try uint64) wire.LegReport {
-	return wire.LegReport{Leg: leg, Try: try, Status: wire.LegRunning}
+func running(leg string, try uint64) wire.TaskReport {
+	return wire.TaskReport{Task: leg, Try: try, Status: wire.TaskRunning}
 }
 
 // An attempt of an earlier term is off its machine only once a report with
@@ -151,7 +151,7 @@
 				tick++
 				r := report(shift, tick, seen)
 				for k := range on {
-					r.Legs = append(r.Legs, running(k.leg, k.try))
+					r.Tasks = append(r.Tasks, running(k.task, k.try))
 				}
 				flight, flightBaton = nil, 0
 				if oldFlight && rapid.Bool().Draw(t, "oldAnswers") {
--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -42,7 +42,7 @@
 func BenchmarkEncodePiece(b *testing.B) {
 	piece := Piece{Next: 2, Done: []byte{0}}
 	for leg := range 8 {
-		piece.Live = append(piece.Live, Placed{Leg: leg, Try: 1, Host: "m-000001", Shift: 1})
+		piece.Live = append(piece.Live, Placed{Task: leg, Try: 1, Host: "m-000001", Session: 1})
 	}
 	b.ReportAllocs()
 	for range b.N {
--- a/internal/ledger/golden_test.go
+++ b/internal/ledger/golden_test.go
@@ -25,7 +25,7 @@
 		"returns": {Returns{Hosts: []string{"m-1"}}, new(Returns)},
 		"images":  {Images{Names: []string{"img-07"}}, new(Images)},
 		"kept":    {Kept{Hosts: []string{"m-1"}}, new(Kept)},
-		"piece":   {Piece{Next: 3, Done: []byte{5}, Live: []Placed{{Leg: 1, Try: 2, Host: "m-1", Shift: 4}}}, new(Piece)},
+		"piece":   {Piece{Next: 3, Done: []byte{5}, Live: []Placed{{Task: 1, Try: 2, Host: "m-1", Session: 4}}}, new(Piece)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			path := filepath.Join("testdata", "golden", name+".json")
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -109,10 +109,10 @@
 
 // Placed is an attempt that was decided and is not yet recorded as ended.
 type Placed struct {
-	Leg   int    `json:"L"`
-	Try   uint64 `json:"T"`
-	Host  string `json:"H"`
-	Shift uint64 `json:"S"`
+	Task    int    `json:"L"`
+	Try     uint64 `json:"T"`
+	Host    string `json:"H"`
+	Session uint64 `json:"S"`
 }
 
 // FitNames is as many of the names as a record with one list of names holds in a value
--- a/internal/ledger/piece.go
+++ b/internal/ledger/piece.go
@@ -18,15 +18,15 @@
 	Dense *Dense `json:"B,omitempty"`
 }
 
-// Dense lists attempts in columns: attempt i is of task Legs[i] with try Tries[i] on
-// machine Machines[i] of Hosts and Shifts. A machine has one entry for each session
+// Dense lists attempts in columns: attempt i is of task Tasks[i] with try Tries[i] on
+// machine Machines[i] of Hosts and Sessions. A machine has one entry for each session
 // that attempts are known from.
 type Dense struct {
-	Legs     []int    `json:"L"`
+	Tasks    []int    `json:"L"`
 	Tries    []uint64 `json:"T"`
 	Machines []int    `json:"M"`
 	Hosts    []string `json:"H"`
-	Shifts   []uint64 `json:"S"`
+	Sessions []uint64 `json:"S"`
 }
 
 // session is a machine in one of its sessions.
@@ -40,15 +40,15 @@
 	dense := &Dense{}
 	index := map[session]int{}
 	for _, placed := range live {
-		key := session{placed.Host, placed.Shift}
+		key := session{placed.Host, placed.Session}
 		machine, known := index[key]
 		if !known {
 			machine = len(dense.Hosts)
 			index[key] = machine
 			dense.Hosts = append(dense.Hosts, placed.Host)
-			dense.Shifts = append(dense.Shifts, placed.Shift)
+			dense.Sessions = append(dense.Sessions, placed.Session)
 		}
-		dense.Legs = append(dense.Legs, placed.Leg)
+		dense.Tasks = append(dense.Tasks, placed.Task)
 		dense.Tries = append(dense.Tries, placed.Try)
 		dense.Machines = append(dense.Machines, machine)
 	}
@@ -57,15 +57,15 @@
 
 // placed lists the attempts one by one.
 func (d *Dense) placed() ([]Placed, error) {
-	if len(d.Tries) != len(d.Legs) || len(d.Machines) != len(d.Legs) || len(d.Shifts) != len(d.Hosts) {
-		return nil, fmt.Errorf("columns of different lengths: %d tasks, %d tries, %d machines", len(d.Legs), len(d.Tries), len(d.Machines))
+	if len(d.Tries) != len(d.Tasks) || len(d.Machines) != len(d.Tasks) || len(d.Sessions) != len(d.Hosts) {
+		return nil, fmt.Errorf("columns of different lengths: %d tasks, %d tries, %d machines", len(d.Tasks), len(d.Tries), len(d.Machines))
 	}
-	live := make([]Placed, 0, len(d.Legs))
+	live := make([]Placed, 0, len(d.Tasks))
 	for i, machine := range d.Machines {
 		if machine < 0 || machine >= len(d.Hosts) {
 			return nil, fmt.Errorf("machine %d of %d", machine, len(d.Hosts))
 		}
-		live = append(live, Placed{Leg: d.Legs[i], Try: d.Tries[i], Host: d.Hosts[machine], Shift: d.Shifts[machine]})
+		live = append(live, Placed{Task: d.Tasks[i], Try: d.Tries[i], Host: d.Hosts[machine], Session: d.Sessions[machine]})
 	}
 	return live, nil
 }
@@ -110,9 +110,9 @@
 	denseFrameBytes = 72
 )
 
-// LegsPerPiece is how many tasks go into one piece so that it fits a value: one by one
+// TasksPerPiece is how many tasks go into one piece so that it fits a value: one by one
 // under the limit of now, and densely under the lowest that is announced.
-func LegsPerPiece(currentBytes, lowestBytes int) int {
+func TasksPerPiece(currentBytes, lowestBytes int) int {
 	return max(1, min(currentBytes/placedBytes, lowestBytes/denseBytes))
 }
 
@@ -123,8 +123,8 @@
 // DenseBytes is at most what an attempt adds to a densely listed piece of so many tasks.
 func DenseBytes(placed Placed, tasks int) int {
 	const separators = 7 // commas and quotes
-	return len(strconv.Itoa(placed.Leg)) + len(strconv.FormatUint(placed.Try, 10)) + len(placed.Host) +
-		len(strconv.FormatUint(placed.Shift, 10)) + len(strconv.Itoa(tasks)) + separators
+	return len(strconv.Itoa(placed.Task)) + len(strconv.FormatUint(placed.Try, 10)) + len(placed.Host) +
+		len(strconv.FormatUint(placed.Session, 10)) + len(strconv.Itoa(tasks)) + separators
 }
 
 // DenseRoom is how many bytes a densely listed piece of so many tasks has for attempts.
--- a/internal/ledger/piece_test.go
+++ b/internal/ledger/piece_test.go
@@ -14,8 +14,8 @@
 
 // placedGen draws attempts as a leader may have to record them.
 var placedGen = rapid.Custom(func(t *rapid.T) Placed {
-	return Placed{Leg: rapid.IntRange(0, wire.MaxLegs).Draw(t, "leg"), Try: rapid.Uint64().Draw(t, "try"),
-		Host: rapid.StringMatching(`m-[0-9a-z"<]{1,20}`).Draw(t, "host"), Shift: rapid.Uint64Range(1, 3).Draw(t, "shift")}
+	return Placed{Task: rapid.IntRange(0, wire.MaxTasks).Draw(t, "leg"), Try: rapid.Uint64().Draw(t, "try"),
+		Host: rapid.StringMatching(`m-[0-9a-z"<]{1,20}`).Draw(t, "host"), Session: rapid.Uint64Range(1, 3).Draw(t, "shift")}
 })
 
 // A densely listed piece is read as what was written, and it takes no more than is
@@ -52,14 +52,14 @@
 // it was laid out for, each of its tasks on a machine of its own.
 func TestWholePieceFitsLowerLimit(t *testing.T) {
 	const current, lowest = 8 << 10, 2 << 10
-	tasks := LegsPerPiece(current, lowest)
-	if tasks != LegsPerPiece(current, current) {
-		t.Errorf("%d tasks to a piece, %d before the limit was announced", tasks, LegsPerPiece(current, current))
+	tasks := TasksPerPiece(current, lowest)
+	if tasks != TasksPerPiece(current, current) {
+		t.Errorf("%d tasks to a piece, %d before the limit was announced", tasks, TasksPerPiece(current, current))
 	}
 	piece := Piece{Next: 3}
 	room := DenseRoom(lowest, tasks)
 	for i := range tasks {
-		placed := Placed{Leg: 2*tasks + i, Try: 1, Host: fmt.Sprintf("m-%06d", i), Shift: 1}
+		placed := Placed{Task: 2*tasks + i, Try: 1, Host: fmt.Sprintf("m-%06d", i), Session: 1}
 		piece.SetDone(i)
 		piece.Live = append(piece.Live, placed)
 		room -= DenseBytes(placed, tasks)
--- a/internal/provision/provision.go
+++ b/internal/provision/provision.go
@@ -32,17 +32,17 @@
 }
 
 // Cap is what a machine of a type offers.
-func Cap(r *wire.Rig) fleet.Res { return fleet.Res{Cores: r.Cores, Gpus: r.Gpus, RAM: r.RAMGb} }
+func Cap(r *wire.MachineType) fleet.Res { return fleet.Res{Cores: r.Cores, Gpus: r.Gpus, RAM: r.RAMGb} }
 
 // Fits reports whether a task of the job fits some machine that it may use.
 func Fits(cat *wire.Catalog, w *wire.Work) bool {
-	for i := range cat.Rigs {
-		r := &cat.Rigs[i]
+	for i := range cat.MachineTypes {
+		r := &cat.MachineTypes[i]
 		if !Cap(r).Holds(fleet.Need(w)) {
 			continue
 		}
-		for _, y := range r.Yards {
-			if sched.Allowed(w, r.Sku, y, false) {
+		for _, y := range r.Zones {
+			if sched.Allowed(w, r.Name, y, false) {
 				return true
 			}
 		}
@@ -191,19 +191,19 @@
 	best, bestCost, bestPop := Group{}, math.Inf(1), 0
 	var room fleet.Res
 	need := fleet.Need(j.Spec)
-	for i := range cat.Rigs {
-		r := &cat.Rigs[i]
+	for i := range cat.MachineTypes {
+		r := &cat.MachineTypes[i]
 		n := Cap(r).Count(need, left)
 		if n == 0 {
 			continue
 		}
-		for _, y := range r.Yards {
+		for _, y := range r.Zones {
 			if !zoneOK(j, yards, y) {
 				continue
 			}
 			for _, standby := range []bool{true, false} {
-				g := Group{r.Sku, y, standby}
-				if !sched.Allowed(j.Spec, r.Sku, y, standby) || refused(g) {
+				g := Group{r.Name, y, standby}
+				if !sched.Allowed(j.Spec, r.Name, y, standby) || refused(g) {
 					continue
 				}
 				if j.Spec.Standby && !standby && !j.Tired && !j.Dear {
--- a/internal/provision/provision_test.go
+++ b/internal/provision/provision_test.go
@@ -13,7 +13,7 @@
 // calls that the cloud takes and no more than are allowed, and deciding what takes no second:
 // with a look at every machine of the packing for each task it took several.
 func TestLostFleetIsRentedAgain(t *testing.T) {
-	cat := &wire.Catalog{Rigs: []wire.Rig{{Sku: "g8", Cores: 96, Gpus: 8, RAMGb: 576, Hourly: 20, LowPrice: 5, Yards: []string{"a", "b", "c", "d"}}}}
+	cat := &wire.Catalog{MachineTypes: []wire.MachineType{{Name: "g8", Cores: 96, Gpus: 8, RAMGb: 576, Hourly: 20, LowPrice: 5, Zones: []string{"a", "b", "c", "d"}}}}
 	for _, machines := range []int{4096, 6000} {
 		var shorts []sched.Short
 		for i := range machines {
--- a/internal/relay/batch.go
+++ b/internal/relay/batch.go
@@ -25,12 +25,12 @@
 
 // repeat adds a report that differs from an earlier one in nothing but its tick.
 func (b *batch) repeat(r, earlier *wire.Report, pressure Pressure) {
-	b.reports = append(b.reports, peer.RelayedReport{Host: r.Host, Shift: r.Shift, Tick: r.Tick, Repeats: earlier.Tick, Pressure: uint8(pressure)})
+	b.reports = append(b.reports, peer.RelayedReport{Host: r.Host, Shift: r.Session, Tick: r.Sequence, Repeats: earlier.Sequence, Pressure: uint8(pressure)})
 }
 
 // add adds a report in full.
 func (b *batch) add(r *wire.Report, body []byte, pressure Pressure) {
-	b.reports = append(b.reports, peer.RelayedReport{Host: r.Host, Shift: r.Shift, Tick: r.Tick, Size: len(body), Pressure: uint8(pressure)})
+	b.reports = append(b.reports, peer.RelayedReport{Host: r.Host, Shift: r.Session, Tick: r.Sequence, Size: len(body), Pressure: uint8(pressure)})
 	b.bodies = append(b.bodies, body...)
 }
 
@@ -78,6 +78,6 @@
 	if a.WarningS != nil || b.WarningS != nil {
 		return false // the notice runs down
 	}
-	return a.Host == b.Host && a.Address == b.Address && a.Rig == b.Rig && a.Yard == b.Yard && a.Standby == b.Standby &&
-		a.Shift == b.Shift && a.Baton == b.Baton && slices.Equal(a.Legs, b.Legs)
+	return a.Host == b.Host && a.Address == b.Address && a.MachineType == b.MachineType && a.Zone == b.Zone && a.Spot == b.Spot &&
+		a.Session == b.Session && a.Token == b.Token && slices.Equal(a.Tasks, b.Tasks)
 }
--- a/internal/relay/receiver.go
+++ b/internal/relay/receiver.go
@@ -75,11 +75,11 @@
 func (v *Receiver) resolve(head *peer.RelayedReport, body []byte) (*wire.Report, error) {
 	if head.Repeats > 0 {
 		base, ok := v.bases.Load(head.Host)
-		if !ok || base.Shift != head.Shift || base.Tick != head.Repeats {
+		if !ok || base.Session != head.Shift || base.Sequence != head.Repeats {
 			return nil, nil
 		}
 		report := *base
-		report.Tick = head.Tick
+		report.Sequence = head.Tick
 		v.bases.Store(head.Host, &report)
 		return &report, nil
 	}
@@ -87,7 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if report.Host != head.Host || report.Shift != head.Shift || report.Tick != head.Tick {
+	if report.Host != head.Host || report.Session != head.Shift || report.Sequence != head.Tick {
 		return nil, ErrMalformedBatch
 	}
 	v.bases.Store(report.Host, &report)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -39,17 +39,17 @@
 // generateReport draws what a worker says next: often the same as before.
 func generateReport(t *rapid.T, last *wire.Report) wire.Report {
 	r := *last
-	r.Tick += uint64(rapid.IntRange(1, 3).Draw(t, "ticks"))
+	r.Sequence += uint64(rapid.IntRange(1, 3).Draw(t, "ticks"))
 	switch rapid.IntRange(0, 5).Draw(t, "change") {
 	case 0:
-		r.Legs = append([]wire.LegReport{}, wire.LegReport{Leg: "run-000001/0", Try: uint64(rapid.IntRange(1, 3).Draw(t, "try")), Status: wire.LegRunning})
+		r.Tasks = append([]wire.TaskReport{}, wire.TaskReport{Task: "run-000001/0", Try: uint64(rapid.IntRange(1, 3).Draw(t, "try")), Status: wire.TaskRunning})
 	case 1:
-		r.Legs = []wire.LegReport{}
+		r.Tasks = []wire.TaskReport{}
 	case 2:
-		r.Shift++
-		r.Legs = []wire.LegReport{}
+		r.Session++
+		r.Tasks = []wire.TaskReport{}
 	case 3:
-		r.Baton = uint64(rapid.IntRange(1, 9).Draw(t, "baton"))
+		r.Token = uint64(rapid.IntRange(1, 9).Draw(t, "baton"))
 	}
 	return r
 }
@@ -79,12 +79,12 @@
 			return NewReceiver(ctx, term, []string{"n1", "n2"}, func(_ context.Context, r *wire.Report, _ string, _ Pressure) peer.RelayedAnswer {
 				mu.Lock()
 				defer mu.Unlock()
-				want := sentReports[keyOf(r.Host, r.Shift, r.Tick)]
+				want := sentReports[keyOf(r.Host, r.Session, r.Sequence)]
 				if !reflect.DeepEqual(*r, want) {
 					wrong = append(wrong, fmt.Sprintf("took %+v, sent was %+v", *r, want))
 				}
-				return peer.RelayedAnswer{Host: r.Host, Shift: r.Shift, Tick: r.Tick, Status: http.StatusOK,
-					Orders: wire.Orders{Baton: term, Orders: []wire.Order{{Verb: wire.Launch, Leg: r.Host + "/0", Try: r.Tick}}}}
+				return peer.RelayedAnswer{Host: r.Host, Shift: r.Session, Tick: r.Sequence, Status: http.StatusOK,
+					Orders: wire.Orders{Baton: term, Orders: []wire.Order{{Verb: wire.Launch, Leg: r.Host + "/0", Try: r.Sequence}}}}
 			})
 		}
 		receiver := newReceiver(1)
@@ -105,7 +105,7 @@
 		last := map[string]*wire.Report{}
 		for i := range hosts {
 			host := fmt.Sprintf("m-%d", i)
-			last[host] = &wire.Report{Host: host, Address: host, Shift: 1, Legs: []wire.LegReport{}}
+			last[host] = &wire.Report{Host: host, Address: host, Session: 1, Tasks: []wire.TaskReport{}}
 		}
 		var waiting []*pendingReport
 		term := uint64(1)
@@ -114,7 +114,7 @@
 			r := generateReport(t, last[host])
 			last[host] = &r
 			mu.Lock()
-			sentReports[keyOf(r.Host, r.Shift, r.Tick)] = r
+			sentReports[keyOf(r.Host, r.Session, r.Sequence)] = r
 			mu.Unlock()
 			if rapid.IntRange(0, 15).Draw(t, "leader") == 15 {
 				term++
@@ -149,7 +149,7 @@
 				continue // the leader was not reached: the node keeps the lease
 			}
 			a := res.answer
-			if a.Host != p.report.Host || a.Shift != p.report.Shift || a.Tick != p.report.Tick || a.Orders.Orders[0].Try != a.Tick {
+			if a.Host != p.report.Host || a.Shift != p.report.Session || a.Tick != p.report.Sequence || a.Orders.Orders[0].Try != a.Tick {
 				t.Fatalf("the report %+v is answered %+v", p.report, a)
 			}
 		}
@@ -176,7 +176,7 @@
 		if tick == 3 {
 			receiver.Forget(func(string) bool { return false })
 		}
-		r := wire.Report{Host: "m", Shift: 1, Tick: tick, Legs: []wire.LegReport{}}
+		r := wire.Report{Host: "m", Session: 1, Sequence: tick, Tasks: []wire.TaskReport{}}
 		p := pendingOf(&r)
 		if err := s.add(Leader{"n0", 1}, p); err != nil {
 			t.Fatal(err)
@@ -197,7 +197,7 @@
 }
 
 func echoAnswer(_ context.Context, r *wire.Report, _ string, _ Pressure) peer.RelayedAnswer {
-	return peer.RelayedAnswer{Host: r.Host, Shift: r.Shift, Tick: r.Tick, Status: http.StatusOK}
+	return peer.RelayedAnswer{Host: r.Host, Shift: r.Session, Tick: r.Sequence, Status: http.StatusOK}
 }
 
 // What waits for a leader that is replaced, does not answer in time or is asked by a
@@ -216,7 +216,7 @@
 		go s.Run(ctx)
 		report := func(to Leader, tick uint64) (took time.Duration, err error) {
 			began := time.Now()
-			_, err = s.Report(ctx, to, &wire.Report{Host: "m", Shift: 1, Tick: tick}, []byte("{}"), Relaxed)
+			_, err = s.Report(ctx, to, &wire.Report{Host: "m", Session: 1, Sequence: tick}, []byte("{}"), Relaxed)
 			return time.Since(began), err
 		}
 		if took, err := report(Leader{"n0", 2}, 1); !errors.Is(err, ErrNoAnswer) || took != s.Patience {
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -86,11 +86,11 @@
 
 // placement is where a worker reports.
 type placement struct {
-	shift uint64 // of the newest report
-	tick  uint64
-	at    string // label; where it was sent, if it was
-	seen  time.Time
-	left  []departure // controllers that it has left by itself, in the last stayLeases
+	session  uint64 // of the newest report
+	sequence uint64
+	at       string // label; where it was sent, if it was
+	seen     time.Time
+	left     []departure // controllers that it has left by itself, in the last stayLeases
 }
 
 // departure is that a worker has left a controller by itself: it came elsewhere without being
@@ -198,12 +198,12 @@
 	if pressure == Full {
 		r.full[at] = now.Add(r.Lease)
 	}
-	to := r.choose(report.Yard, at, pressure, now)
+	to := r.choose(report.Zone, at, pressure, now)
 	if to == at {
 		return ""
 	}
 	// What a controller has too much of goes at once: it has no connections left.
-	if !r.tooMany(at, report.Yard, pressure) && !r.moves.AllowN(now, 1) {
+	if !r.tooMany(at, report.Zone, pressure) && !r.moves.AllowN(now, 1) {
 		return ""
 	}
 	r.moveLoad(p, to)
@@ -217,10 +217,10 @@
 		p = &placement{}
 		r.workers[report.Host] = p
 	}
-	if report.Shift < p.shift || report.Shift == p.shift && report.Tick <= p.tick {
+	if report.Session < p.session || report.Session == p.session && report.Sequence <= p.sequence {
 		return p, false
 	}
-	p.shift, p.tick, p.seen = report.Shift, report.Tick, now
+	p.session, p.sequence, p.seen = report.Session, report.Sequence, now
 	p.left = slices.DeleteFunc(p.left, func(d departure) bool { return now.Sub(d.at) >= stayLeases*r.Lease })
 	if p.at != "" && at != p.at {
 		p.leave(now)
--- a/internal/relay/router_test.go
+++ b/internal/relay/router_test.go
@@ -26,7 +26,7 @@
 
 func (r *reports) next(host, zone string) *wire.Report {
 	r.tick++
-	return &wire.Report{Host: host, Yard: zone, Shift: 1, Tick: r.tick}
+	return &wire.Report{Host: host, Zone: zone, Session: 1, Sequence: r.tick}
 }
 
 // settle lets workers report once a second where they are sent, and returns where each
@@ -55,7 +55,7 @@
 			t.Errorf("with %d workers the mode is %s", step.workers, r.Mode())
 		}
 	}
-	if to := r.Route(&wire.Report{Host: "m", Yard: "b", Shift: 1, Tick: 1}, "n0", Relaxed, time.Now()); to != "" {
+	if to := r.Route(&wire.Report{Host: "m", Zone: "b", Session: 1, Sequence: 1}, "n0", Relaxed, time.Now()); to != "" {
 		t.Errorf("a small fleet's worker is sent to %s", to)
 	}
 }
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -131,7 +131,7 @@
 
 // newer reports whether a report is newer than another one of the same worker.
 func newer(r, than *wire.Report) bool {
-	return r.Shift > than.Shift || r.Shift == than.Shift && r.Tick > than.Tick
+	return r.Session > than.Session || r.Session == than.Session && r.Sequence > than.Sequence
 }
 
 // move is the one function that changes the state of a report. s.mu is held.
@@ -204,7 +204,7 @@
 	s.noteTaken(inBatch, reply.Resend)
 	for _, a := range reply.Answers {
 		p := s.pending[a.Host]
-		if p != nil && p.report.Shift == a.Shift && p.report.Tick == a.Tick {
+		if p != nil && p.report.Session == a.Shift && p.report.Sequence == a.Tick {
 			s.finish(p, result{answer: a})
 		}
 	}
--- a/internal/standby/part.go
+++ b/internal/standby/part.go
@@ -18,7 +18,7 @@
 	runningTaskBytes = 16
 	// maxPartBytes is the most that a part may have decoded: one entry more than partBytes,
 	// the largest of which is the view of a job all of whose tasks run, with room to spare.
-	maxPartBytes = 2*partBytes + wire.MaxLegs*runningTaskBytes
+	maxPartBytes = 2*partBytes + wire.MaxTasks*runningTaskBytes
 )
 
 // encodePart makes the body of a part.
--- a/internal/standby/size_test.go
+++ b/internal/standby/size_test.go
@@ -35,7 +35,7 @@
 		}
 		largest := JobView{UID: "run-000001"}
 		var tasks []RunningTask
-		for i := range wire.MaxLegs {
+		for i := range wire.MaxTasks {
 			tasks = append(tasks, RunningTask{Task: i, Try: 1 << 40, SinceS: int64(i) << 10})
 		}
 		if err := largest.SetRunning(tasks); err != nil {
--- a/internal/standin/day_test.go
+++ b/internal/standin/day_test.go
@@ -82,9 +82,9 @@
 	return cfg
 }
 
-var catalog = wire.Catalog{Rigs: []wire.Rig{
-	{Sku: "g4", Cores: 32, Gpus: 4, RAMGb: 256, LocalGb: 400, PullGbPerS: 2, Hourly: 8, LowPrice: 3, BootS: 15, Yards: []string{"a", "b"}},
-	{Sku: "g8", Cores: 64, Gpus: 8, RAMGb: 512, LocalGb: 400, PullGbPerS: 2, Hourly: 18, LowPrice: 6, BootS: 15, Yards: []string{"a", "b"}},
+var catalog = wire.Catalog{MachineTypes: []wire.MachineType{
+	{Name: "g4", Cores: 32, Gpus: 4, RAMGb: 256, LocalGb: 400, PullGbPerS: 2, Hourly: 8, LowPrice: 3, BootS: 15, Zones: []string{"a", "b"}},
+	{Name: "g8", Cores: 64, Gpus: 8, RAMGb: 512, LocalGb: 400, PullGbPerS: 2, Hourly: 18, LowPrice: 6, BootS: 15, Zones: []string{"a", "b"}},
 }}
 
 // day is three controllers in a world of stand-ins.
@@ -467,7 +467,7 @@
 	t.Parallel()
 	inDay(t, func(d *day) {
 		d.w.Capacity = 4
-		s := wire.Work{UID: "run-000001", Berth: "large", Crew: "free", Shape: wire.Sweep, Rank: wire.Standard, Legs: wire.MaxLegs,
+		s := wire.Work{UID: "run-000001", Berth: "large", Crew: "free", Shape: wire.Sweep, Rank: wire.Standard, Legs: wire.MaxTasks,
 			Cores: 0.5, RAMGb: 0.1, Rollout: "img", ImageGb: 1, ExpectS: 4, Rigs: []string{"g4", "g8"}}
 		d.w.Upload(s)
 		if status, _ := d.w.Ask("n0", "POST", "/work", s); status != 201 {
--- a/internal/standin/judge.go
+++ b/internal/standin/judge.go
@@ -238,7 +238,7 @@
 	placed, gpus := map[string]int{}, map[string]float64{}
 	for i := range loads {
 		for _, leg := range loads[i].legs {
-			uid, _, _ := wire.SplitLeg(leg)
+			uid, _, _ := wire.SplitTaskName(leg)
 			s := w.specs[uid]
 			placed[uid]++
 			gpus[s.Crew] += s.Gpus
@@ -278,13 +278,13 @@
 		return hostLoad{}, false
 	}
 	l := hostLoad{rig: k.Rig, yard: k.Yard, standby: k.Spot}
-	for _, r := range k.w.Catalog.Rigs {
-		if r.Sku == k.Rig {
+	for _, r := range k.w.Catalog.MachineTypes {
+		if r.Name == k.Rig {
 			l.cores, l.gpus = r.Cores, r.Gpus
 		}
 	}
-	for key, leg := range k.legs {
-		if leg.status != wire.LegEnded {
+	for key, leg := range k.tasks {
+		if leg.status != wire.TaskEnded {
 			l.legs = append(l.legs, key.name)
 		}
 	}
--- a/internal/standin/occupancy.go
+++ b/internal/standin/occupancy.go
@@ -27,7 +27,7 @@
 		return
 	}
 	delete(o.hosts, task)
-	uid, _, _ := wire.SplitLeg(task)
+	uid, _, _ := wire.SplitTaskName(task)
 	delete(o.byJob[uid], task)
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -28,24 +28,24 @@
 	dead     bool
 	hungTill time.Time
 	sickTill time.Time
-	shift    uint64
-	tick     uint64
-	baton    uint64
+	session  uint64
+	sequence uint64
+	token    uint64
 	answered time.Time // when the last answered report was sent
 	node     int
-	legs     map[legKey]*leg
+	tasks    map[taskKey]*workerTask
 	images   map[string]bool
 	poke     chan struct{}
 	stop     chan struct{}
 }
 
-type legKey struct {
+type taskKey struct {
 	name string
 	try  uint64
 }
 
-type leg struct {
-	status wire.LegStatus
+type workerTask struct {
+	status wire.TaskStatus
 	cause  wire.Cause
 	kept   bool
 	on     bool
@@ -53,8 +53,8 @@
 }
 
 func newWorker(w *World, host, rig, yard string, standby bool, boot time.Duration) *Worker {
-	return &Worker{Host: host, Rig: rig, Yard: yard, Spot: standby, w: w, born: time.Now(), boot: boot, shift: 1,
-		legs: map[legKey]*leg{}, images: map[string]bool{}, poke: make(chan struct{}, 1), stop: make(chan struct{})}
+	return &Worker{Host: host, Rig: rig, Yard: yard, Spot: standby, w: w, born: time.Now(), boot: boot, session: 1,
+		tasks: map[taskKey]*workerTask{}, images: map[string]bool{}, poke: make(chan struct{}, 1), stop: make(chan struct{})}
 }
 
 // gone is how long ago the machine went, or negative.
@@ -102,13 +102,13 @@
 // is held.
 func (k *Worker) killAll() []string {
 	var off []string
-	for key, l := range k.legs {
+	for key, l := range k.tasks {
 		if l.on {
 			off = append(off, key.name)
 		}
 	}
 	slices.Sort(off)
-	k.legs = map[legKey]*leg{}
+	k.tasks = map[taskKey]*workerTask{}
 	return off
 }
 
@@ -175,10 +175,10 @@
 
 // body makes the report as it stands. k.mu is held.
 func (k *Worker) body() []byte {
-	k.tick++
-	r := wire.Report{Host: k.Host, Address: k.Address, Rig: k.Rig, Yard: k.Yard, Standby: k.Spot, Shift: k.shift, Tick: k.tick, Baton: k.baton, Legs: []wire.LegReport{}}
-	for key, l := range k.legs {
-		r.Legs = append(r.Legs, wire.LegReport{Leg: key.name, Try: key.try, Status: l.status, Cause: l.cause, Kept: l.kept})
+	k.sequence++
+	r := wire.Report{Host: k.Host, Address: k.Address, MachineType: k.Rig, Zone: k.Yard, Spot: k.Spot, Session: k.session, Sequence: k.sequence, Token: k.token, Tasks: []wire.TaskReport{}}
+	for key, l := range k.tasks {
+		r.Tasks = append(r.Tasks, wire.TaskReport{Task: key.name, Try: key.try, Status: l.status, Cause: l.cause, Kept: l.kept})
 	}
 	data, err := json.Marshal(r)
 	if err != nil {
@@ -192,10 +192,10 @@
 	k.mu.Lock()
 	sent := time.Now()
 	k.mind(sent)
-	shift := k.shift
+	shift := k.session
 	data := k.body()
 	node := k.w.Nodes[k.node]
-	if k.tick%7 == 0 {
+	if k.sequence%7 == 0 {
 		// A copy of this report arrives much later.
 		go func() {
 			if k.pause(time.Duration(2+k.w.Net.Chance(25)) * time.Second) {
@@ -211,14 +211,14 @@
 	switch status {
 	case http.StatusOK:
 		var o wire.Orders
-		if json.Unmarshal(body, &o) != nil || o.Baton < k.baton {
+		if json.Unmarshal(body, &o) != nil || o.Baton < k.token {
 			return true // dropped
 		}
-		if k.shift != shift {
+		if k.session != shift {
 			return true
 		}
-		if o.Baton > k.baton {
-			k.baton = o.Baton
+		if o.Baton > k.token {
+			k.token = o.Baton
 			k.changed()
 		}
 		k.answered = sent
@@ -256,39 +256,39 @@
 // execute carries out orders. k.mu is held.
 func (k *Worker) execute(orders []wire.Order) {
 	for _, o := range orders {
-		key := legKey{o.Leg, o.Try}
-		l := k.legs[key]
+		key := taskKey{o.Leg, o.Try}
+		l := k.tasks[key]
 		switch o.Verb {
 		case wire.Launch:
 			if l != nil {
 				continue
 			}
 			k.w.judgeLaunch(o.Leg, o.Try, k.Host)
-			l = &leg{status: wire.LegFetching, due: time.Now().Add(time.Duration(1+k.w.Net.Chance(4)) * time.Second)}
-			for other, ol := range k.legs {
-				if other.name == o.Leg && ol.status != wire.LegEnded {
-					l.status, l.cause = wire.LegEnded, wire.CauseInUse
+			l = &workerTask{status: wire.TaskFetching, due: time.Now().Add(time.Duration(1+k.w.Net.Chance(4)) * time.Second)}
+			for other, ol := range k.tasks {
+				if other.name == o.Leg && ol.status != wire.TaskEnded {
+					l.status, l.cause = wire.TaskEnded, wire.CauseInUse
 				}
 			}
-			if l.status != wire.LegEnded && !k.room(o.Leg) {
-				l.status, l.cause = wire.LegEnded, wire.CauseNoRoom
+			if l.status != wire.TaskEnded && !k.room(o.Leg) {
+				l.status, l.cause = wire.TaskEnded, wire.CauseNoRoom
 			}
-			k.legs[key] = l
+			k.tasks[key] = l
 		case wire.Stop:
-			if l == nil || l.status == wire.LegEnded {
+			if l == nil || l.status == wire.TaskEnded {
 				continue
 			}
-			uid, _, _ := wire.SplitLeg(o.Leg)
+			uid, _, _ := wire.SplitTaskName(o.Leg)
 			s := k.spec(uid)
-			if l.status == wire.LegRunning && s.MarkS > 0 && o.LeewayS >= s.StowS {
-				l.status, l.due = wire.LegSaving, time.Now().Add(time.Duration(s.StowS*float64(time.Second)))
-			} else if l.status != wire.LegSaving || o.LeewayS == 0 {
+			if l.status == wire.TaskRunning && s.MarkS > 0 && o.LeewayS >= s.StowS {
+				l.status, l.due = wire.TaskSaving, time.Now().Add(time.Duration(s.StowS*float64(time.Second)))
+			} else if l.status != wire.TaskSaving || o.LeewayS == 0 {
 				k.end(key, l, wire.CauseStopped)
 			}
 		case wire.Reap:
-			if l != nil && l.status == wire.LegEnded {
+			if l != nil && l.status == wire.TaskEnded {
 				k.w.judgeReap(o.Leg, o.Try, k.Host)
-				delete(k.legs, key)
+				delete(k.tasks, key)
 			}
 		}
 		k.changed()
@@ -302,18 +302,18 @@
 }
 
 func (k *Worker) room(name string) bool {
-	uid, _, _ := wire.SplitLeg(name)
+	uid, _, _ := wire.SplitTaskName(name)
 	need := k.spec(uid)
 	cores, gpus := need.Cores, need.Gpus
-	for key, l := range k.legs {
-		if l.status != wire.LegEnded {
-			u, _, _ := wire.SplitLeg(key.name)
+	for key, l := range k.tasks {
+		if l.status != wire.TaskEnded {
+			u, _, _ := wire.SplitTaskName(key.name)
 			s := k.spec(u)
 			cores, gpus = cores+s.Cores, gpus+s.Gpus
 		}
 	}
-	for _, r := range k.w.Catalog.Rigs {
-		if r.Sku == k.Rig {
+	for _, r := range k.w.Catalog.MachineTypes {
+		if r.Name == k.Rig {
 			return cores <= r.Cores && gpus <= r.Gpus
 		}
 	}
@@ -321,12 +321,12 @@
 }
 
 // end ends a task. k.mu is held.
-func (k *Worker) end(key legKey, l *leg, why wire.Cause) {
+func (k *Worker) end(key taskKey, l *workerTask, why wire.Cause) {
 	if l.on {
 		l.on = false
 		k.w.End(key.name, k.Host, why == wire.CauseDone)
 	}
-	l.status, l.cause = wire.LegEnded, why
+	l.status, l.cause = wire.TaskEnded, why
 	k.changed()
 }
 
@@ -336,7 +336,7 @@
 		return
 	}
 	off := k.killAll()
-	k.shift++
+	k.session++
 	k.answered = now
 	for _, name := range off {
 		k.w.End(name, k.Host, false)
@@ -354,15 +354,15 @@
 			continue
 		}
 		k.mind(now)
-		for key, l := range k.legs {
-			if l.status == wire.LegEnded || now.Before(l.due) || l.due.IsZero() {
+		for key, l := range k.tasks {
+			if l.status == wire.TaskEnded || now.Before(l.due) || l.due.IsZero() {
 				continue
 			}
-			uid, _, _ := wire.SplitLeg(key.name)
+			uid, _, _ := wire.SplitTaskName(key.name)
 			s := k.spec(uid)
 			switch l.status {
-			case wire.LegFetching:
-				l.status, l.on, l.due = wire.LegRunning, true, time.Time{}
+			case wire.TaskFetching:
+				l.status, l.on, l.due = wire.TaskRunning, true, time.Time{}
 				k.w.Start(key.name, k.Host, k.Rig, k.Yard, k.Spot)
 				if now.Before(k.sickTill) || s.Berth != "" && s.Berth == k.w.Mistaken {
 					k.end(key, l, wire.CauseError)
@@ -370,9 +370,9 @@
 					l.due = now.Add(time.Duration(s.ExpectS * float64(time.Second)))
 				}
 				k.changed()
-			case wire.LegRunning:
+			case wire.TaskRunning:
 				k.end(key, l, wire.CauseDone)
-			case wire.LegSaving:
+			case wire.TaskSaving:
 				l.kept = true
 				k.end(key, l, wire.CauseStopped)
 			}
@@ -390,16 +390,16 @@
 		return
 	}
 	var d wire.Direct
-	if json.NewDecoder(r.Body).Decode(&d) != nil || d.Baton == 0 || d.Shift == 0 {
+	if json.NewDecoder(r.Body).Decode(&d) != nil || d.Token == 0 || d.Session == 0 {
 		reply(rw, http.StatusBadRequest, wire.Fault{Error: "malformed"})
 		return
 	}
-	if d.Baton < k.baton || d.Shift != k.shift || k.dead {
+	if d.Token < k.token || d.Session != k.session || k.dead {
 		reply(rw, http.StatusConflict, json.RawMessage(k.body()))
 		return
 	}
-	if d.Baton > k.baton {
-		k.baton = d.Baton
+	if d.Token > k.token {
+		k.token = d.Token
 		k.changed()
 	}
 	k.execute(d.Orders)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -205,7 +205,7 @@
 // judgeReap checks that an end was recorded before the task is forgotten. What
 // is withdrawn is never launched again and needs no such record.
 func (w *World) judgeReap(name string, try uint64, host string) {
-	uid, _, _ := wire.SplitLeg(name)
+	uid, _, _ := wire.SplitTaskName(name)
 	item, ok := w.State.Get(ledger.JobKey(uid))
 	if ok && !bytes.Contains(item.Value, []byte(wire.JobAborted)) && w.recorded(name, try, host) {
 		w.rule("reaped", "%s try %d is reaped on %s, but its record says it may run", name, try, host)
@@ -213,14 +213,14 @@
 }
 
 func (w *World) recorded(name string, try uint64, host string) bool {
-	uid, n, _ := wire.SplitLeg(name)
+	uid, n, _ := wire.SplitTaskName(name)
 	for _, item := range w.State.Items(ledger.PiecePrefix + uid + "/") {
 		rec, err := ledger.DecodePiece(item.Value)
 		if err != nil {
 			panic(err)
 		}
 		for _, p := range rec.Live {
-			if p.Leg == n && p.Try == try && p.Host == host {
+			if p.Task == n && p.Try == try && p.Host == host {
 				return true
 			}
 		}
@@ -233,7 +233,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.started++
-	uid, _, _ := wire.SplitLeg(leg)
+	uid, _, _ := wire.SplitTaskName(leg)
 	s, ok := w.specs[uid]
 	if !ok {
 		w.breach("invented", "%s starts, but nobody submitted it", leg)
@@ -291,7 +291,7 @@
 	defer w.mu.Unlock()
 	w.on.take(leg, host)
 	if completed {
-		uid, n, _ := wire.SplitLeg(leg)
+		uid, n, _ := wire.SplitTaskName(leg)
 		if w.done[uid] == nil {
 			w.done[uid] = map[int]bool{}
 		}
@@ -307,7 +307,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for leg, hosts := range w.on.hosts {
-		uid, _, _ := wire.SplitLeg(leg)
+		uid, _, _ := wire.SplitTaskName(leg)
 		if at, ok := w.aborted[uid]; ok && time.Since(at).Seconds() > w.Cfg.Cluster.Workers.CancelS {
 			w.breach("ran_cancelled", "%s is on %v, %.1f s after its user was told", leg, hosts, time.Since(at).Seconds())
 			delete(w.aborted, uid)
@@ -357,7 +357,7 @@
 			if age < wk.boot {
 				status = wire.HostBooting
 			}
-			out.Hosts = append(out.Hosts, wire.ListedHost{UID: wk.Host, Address: wk.Address, Rig: wk.Rig, Yard: wk.Yard, Standby: wk.Spot, Status: status, AgeS: age.Seconds()})
+			out.Hosts = append(out.Hosts, wire.ListedHost{UID: wk.Host, Address: wk.Address, MachineType: wk.Rig, Zone: wk.Yard, Spot: wk.Spot, Status: status, AgeS: age.Seconds()})
 		}
 		sort.Slice(out.Hosts, func(i, j int) bool { return out.Hosts[i].UID < out.Hosts[j].UID })
 		after := r.URL.Query().Get("After")
@@ -392,7 +392,7 @@
 		if boot == 0 {
 			boot = time.Duration(5+w.Net.Chance(15)) * time.Second
 		}
-		names = append(names, w.add(q.Rig, q.Yard, q.Standby, boot))
+		names = append(names, w.add(q.MachineType, q.Zone, q.Spot, boot))
 	}
 	w.bookings[q.Booking] = names
 	reply(rw, http.StatusOK, wire.HostNames{Hosts: names})
--- a/wire/decode_test.go
+++ b/wire/decode_test.go
@@ -10,23 +10,23 @@
 
 func genReport(t *rapid.T) Report {
 	r := Report{
-		Host:    rapid.StringMatching(`m-[0-9]{6}`).Draw(t, "host"),
-		Address: rapid.StringMatching(`[0-9.]{1,12}:[0-9]{1,5}`).Draw(t, "address"),
-		Rig:     "g8",
-		Yard:    rapid.String().Draw(t, "yard"),
-		Standby: rapid.Bool().Draw(t, "standby"),
-		Shift:   rapid.Uint64().Draw(t, "shift"),
-		Tick:    rapid.Uint64().Draw(t, "tick"),
-		Baton:   rapid.Uint64().Draw(t, "baton"),
-		Legs:    []LegReport{},
+		Host:        rapid.StringMatching(`m-[0-9]{6}`).Draw(t, "host"),
+		Address:     rapid.StringMatching(`[0-9.]{1,12}:[0-9]{1,5}`).Draw(t, "address"),
+		MachineType: "g8",
+		Zone:        rapid.String().Draw(t, "yard"),
+		Spot:        rapid.Bool().Draw(t, "standby"),
+		Session:     rapid.Uint64().Draw(t, "shift"),
+		Sequence:    rapid.Uint64().Draw(t, "tick"),
+		Token:       rapid.Uint64().Draw(t, "baton"),
+		Tasks:       []TaskReport{},
 	}
 	if rapid.Bool().Draw(t, "warned") {
 		warning := rapid.Float64Range(0, 1e3).Draw(t, "warning")
 		r.WarningS = &warning
 	}
 	for range rapid.IntRange(0, 3).Draw(t, "legs") {
-		r.Legs = append(r.Legs, LegReport{Leg: LegName("run-000001", rapid.IntRange(0, 99).Draw(t, "leg")), Try: rapid.Uint64().Draw(t, "try"),
-			Status: rapid.SampledFrom([]LegStatus{LegFetching, LegRunning, LegEnded}).Draw(t, "status"), Kept: rapid.Bool().Draw(t, "kept")})
+		r.Tasks = append(r.Tasks, TaskReport{Task: TaskName("run-000001", rapid.IntRange(0, 99).Draw(t, "leg")), Try: rapid.Uint64().Draw(t, "try"),
+			Status: rapid.SampledFrom([]TaskStatus{TaskFetching, TaskRunning, TaskEnded}).Draw(t, "status"), Kept: rapid.Bool().Draw(t, "kept")})
 	}
 	return r
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1,5 +1,16 @@
 // Package wire holds the JSON bodies that lotusstile exchanges with users,
 // workers, the cloud and the state service. Clients may import it.
+//
+// The protocol has words of its own for what others call otherwise. They are kept in JSON
+// keys; Go names are the usual ones:
+//
+//	Rig, Sku    machine type         Shift  session of a worker
+//	Yard        zone                 Tick   sequence number of a report
+//	Leg         task                 Baton  token of the controller that commands
+//	Standby     may use spot machines, or is one
+//
+// Work, Order, Orders and Redirect still have the protocol's words: other controllers, also of
+// the release before, read them by their Go names.
 package wire
 
 import (
@@ -13,8 +24,8 @@
 const (
 	// MaxBody is the largest request body that any party accepts.
 	MaxBody = 64 << 10
-	// MaxLegs is the largest number of tasks of one job.
-	MaxLegs = 100_000
+	// MaxTasks is the largest number of tasks of one job.
+	MaxTasks = 100_000
 	// MaxRent is the largest number of machines in one rental.
 	MaxRent = 50
 	// MaxReturn is the largest number of names in one return.
@@ -84,16 +95,16 @@
 	Error string `json:"error"`
 }
 
-// LegStatus is the state of a task on its machine.
-type LegStatus string
+// TaskStatus is the state of a task on its machine.
+type TaskStatus string
 
 // The task states that workers report.
 const (
-	LegFetching LegStatus = "fetching"
-	LegWaiting  LegStatus = "waiting" // has its image, waits for the rest of its gang
-	LegRunning  LegStatus = "running"
-	LegSaving   LegStatus = "saving"
-	LegEnded    LegStatus = "ended"
+	TaskFetching TaskStatus = "fetching"
+	TaskWaiting  TaskStatus = "waiting" // has its image, waits for the rest of its gang
+	TaskRunning  TaskStatus = "running"
+	TaskSaving   TaskStatus = "saving"
+	TaskEnded    TaskStatus = "ended"
 )
 
 // Cause says why a task ended.
@@ -109,27 +120,27 @@
 	CauseNoSuch  Cause = "no_such"
 )
 
-// LegReport is one task of a worker's report.
-type LegReport struct {
-	Leg    string
+// TaskReport is one task of a worker's report.
+type TaskReport struct {
+	Task   string `json:"Leg"`
 	Try    uint64
-	Status LegStatus
+	Status TaskStatus
 	Cause  Cause `json:",omitempty"`
 	Kept   bool  `json:",omitempty"`
 }
 
 // Report is the body of POST /checkin.
 type Report struct {
-	Host     string
-	Address  string
-	Rig      string
-	Yard     string
-	Standby  bool
-	Shift    uint64
-	Tick     uint64
-	Baton    uint64
-	WarningS *float64
-	Legs     []LegReport
+	Host        string
+	Address     string
+	MachineType string `json:"Rig"`
+	Zone        string `json:"Yard"`
+	Spot        bool   `json:"Standby"`
+	Session     uint64 `json:"Shift"`
+	Sequence    uint64 `json:"Tick"`
+	Token       uint64 `json:"Baton"`
+	WarningS    *float64
+	Tasks       []TaskReport `json:"Legs"`
 }
 
 // ParseReport decodes a check-in.
@@ -138,10 +149,10 @@
 	if err := Decode(body, &r); err != nil {
 		return Report{}, fmt.Errorf("report is not valid: %w", err)
 	}
-	if r.Host == "" || r.Shift == 0 {
+	if r.Host == "" || r.Session == 0 {
 		return Report{}, errors.New("report lacks Host or Shift")
 	}
-	for _, f := range []string{r.Host, r.Address, r.Rig, r.Yard} {
+	for _, f := range []string{r.Host, r.Address, r.MachineType, r.Zone} {
 		if len(f) > maxName {
 			return Report{}, errors.New("a name in the report is too long")
 		}
@@ -175,9 +186,9 @@
 
 // Direct is the body of POST /do.
 type Direct struct {
-	Baton  uint64
-	Shift  uint64
-	Orders []Order
+	Token   uint64 `json:"Baton"`
+	Session uint64 `json:"Shift"`
+	Orders  []Order
 }
 
 // Redirect answers a check-in with 421.
@@ -185,11 +196,11 @@
 	Dispatcher string `json:",omitempty"`
 }
 
-// LegName is the name of task leg of job uid.
-func LegName(uid string, leg int) string { return uid + "/" + strconv.Itoa(leg) }
+// TaskName is the name of a task of a job.
+func TaskName(uid string, task int) string { return uid + "/" + strconv.Itoa(task) }
 
-// SplitLeg takes a task's name apart.
-func SplitLeg(name string) (uid string, leg int, ok bool) {
+// SplitTaskName takes a task's name apart.
+func SplitTaskName(name string) (uid string, task int, ok bool) {
 	uid, num, ok := strings.Cut(name, "/")
 	if !ok || uid == "" {
 		return "", 0, false
@@ -201,9 +212,9 @@
 	return uid, n, true
 }
 
-// Rig is a machine type of GET /catalog.
-type Rig struct {
-	Sku        string
+// MachineType is a machine type of GET /catalog.
+type MachineType struct {
+	Name       string `json:"Sku"`
 	Cores      float64
 	Gpus       float64
 	RAMGb      float64 `json:"RamGb"`
@@ -212,19 +223,21 @@
 	Hourly     float64
 	LowPrice   float64
 	BootS      float64
-	Yards      []string
+	Zones      []string `json:"Yards"`
 }
 
 // Catalog answers GET /catalog.
-type Catalog struct{ Rigs []Rig }
+type Catalog struct {
+	MachineTypes []MachineType `json:"Rigs"`
+}
 
 // RentRequest is the body of POST /machines.
 type RentRequest struct {
-	Booking string
-	Rig     string
-	Yard    string
-	Standby bool
-	HowMany int
+	Booking     string
+	MachineType string `json:"Rig"`
+	Zone        string `json:"Yard"`
+	Spot        bool   `json:"Standby"`
+	HowMany     int
 }
 
 // HostNames names machines, in rentals and returns.
@@ -242,13 +255,13 @@
 
 // ListedHost is a machine in the cloud's list.
 type ListedHost struct {
-	UID     string `json:"Uid"`
-	Address string
-	Rig     string
-	Yard    string
-	Standby bool
-	Status  HostStatus
-	AgeS    float64
+	UID         string `json:"Uid"`
+	Address     string
+	MachineType string `json:"Rig"`
+	Zone        string `json:"Yard"`
+	Spot        bool   `json:"Standby"`
+	Status      HostStatus
+	AgeS        float64
 }
 
 // HostList answers GET /machines.
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -19,7 +19,7 @@
 		Crew:    rapid.StringMatching(`[a-z-]{1,8}`).Draw(t, "crew"),
 		Shape:   rapid.SampledFrom([]Shape{Sweep, Standing}).Draw(t, "shape"),
 		Rank:    rapid.SampledFrom([]Rank{Critical, High, Standard, BestEffort}).Draw(t, "rank"),
-		Legs:    rapid.IntRange(1, MaxLegs).Draw(t, "legs"),
+		Legs:    rapid.IntRange(1, MaxTasks).Draw(t, "legs"),
 		Cores:   float64(rapid.IntRange(1, 64).Draw(t, "cores")),
 		Gpus:    float64(rapid.IntRange(0, 8).Draw(t, "gpus")),
 		RAMGb:   rapid.Float64Range(0, 1e6).Draw(t, "ram"),
@@ -109,14 +109,14 @@
 
 func TestLegNames(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		uid, leg := "run-000001", rapid.IntRange(0, MaxLegs).Draw(t, "leg")
-		gotUID, gotLeg, ok := SplitLeg(LegName(uid, leg))
+		uid, leg := "run-000001", rapid.IntRange(0, MaxTasks).Draw(t, "leg")
+		gotUID, gotLeg, ok := SplitTaskName(TaskName(uid, leg))
 		if !ok || gotUID != uid || gotLeg != leg {
 			t.Fatalf("got %s %d %v", gotUID, gotLeg, ok)
 		}
 	})
 	for _, bad := range []string{"", "run-000001", "/1", "run-000001/", "run-000001/-1", "run-000001/01", "run-000001/x"} {
-		if _, _, ok := SplitLeg(bad); ok {
+		if _, _, ok := SplitTaskName(bad); ok {
 			t.Errorf("took %q for a task", bad)
 		}
 	}
--- a/wire/work.go
+++ b/wire/work.go
@@ -160,8 +160,8 @@
 func (in *workIn) takeTasks(w *Work) error {
 	var tasks float64
 	err := take([]field[float64]{{"Legs", in.Legs, &tasks}}, func(n float64) error {
-		if n < 1 || n > MaxLegs || n != float64(int(n)) {
-			return fmt.Errorf("must be a whole number from 1 to %d", MaxLegs)
+		if n < 1 || n > MaxTasks || n != float64(int(n)) {
+			return fmt.Errorf("must be a whole number from 1 to %d", MaxTasks)
 		}
 		return nil
 	})
