--- a/internal/controller/lost.go
+++ b/internal/controller/lost.go
@@ -179,88 +179,148 @@
 
 // declareLost decides which machines to return because they are lost.
 func (c *Controller) declareLost(now time.Time) {
-	every, lease := c.Config.ReportEvery(), c.Config.Lease()
-	around, reached := c.lookAround(now), c.Reached()
-	// Most machines of a zone that fall silent together are cut off rather than
-	// lost, if no controller there is reached either: what they run may go on,
-	// and they will be back. Where a controller is reached, they are lost.
-	for yard, z := range around.zones {
-		if yard != "" && z.longSilent > 2 && 2*z.longSilent > z.total && !slices.Contains(reached, yard) {
-			c.cutOff[yard] = now
+	around := c.lookAround(now)
+	c.noteCutOffZones(around, now)
+	c.noteLostCarriers(around, now)
+	d := c.doubtsOf(around, now)
+	c.fleet.Each(func(m *fleet.Machine) {
+		if why := d.lostBecause(m); why != "" {
+			c.startReturn(m, now, why)
+		}
+		if m.Warned {
+			c.saveTasks(m, now)
+		}
+	})
+}
+
+// noteCutOffZones notes the zones that are cut off. Most machines of a zone that fall silent
+// together are cut off rather than lost, if no controller there is reached either: what they
+// run may go on, and they will be back. Where a controller is reached, they are lost.
+func (c *Controller) noteCutOffZones(around *liveness, now time.Time) {
+	reached := c.Reached()
+	for zone, z := range around.zones {
+		if zone != "" && z.longSilent > 2 && 2*z.longSilent > z.total && !slices.Contains(reached, zone) {
+			c.cutOff[zone] = now
 		}
 	}
-	// When a cut ends, machines come back one after the other: the last ones
-	// must not be taken for lost because the others are back.
-	cutOff := func(m *fleet.Machine) bool {
-		at, ok := c.cutOff[m.Zone]
-		return ok && now.Sub(at) < lease
-	}
+}
+
+// doubts is what speaks against a silent machine being lost.
+type doubts struct {
+	c        *Controller
+	now      time.Time
+	around   *liveness
+	part     int           // a group is in doubt if more than one in so many is silent
+	patience time.Duration // for one machine
+	search   time.Duration // how long a worker may look for a node
+}
+
+func (c *Controller) doubtsOf(around *liveness, now time.Time) *doubts {
+	every := c.Config.ReportEvery()
 	// The first machines behind a cut are quiet for three intervals while the
 	// last ones have just missed a report: counting only the quiet ones, a
 	// leader returned 17 of 90 before it saw that there was a cut. Up to half of
 	// a zone counts as lost: if it is their network that failed, their leases
 	// end anyway, and what they ran is down for as long later instead.
-	part, patience := 2, 3*every
-	// How long a worker may look for a node: it learns with its next report that
-	// one is gone, and each that does not answer costs it one try.
-	search := every*5/4 + time.Duration(max(1, len(c.Config.Members)+1-len(reached)))*workerTry
+	d := &doubts{c: c, now: now, around: around, part: 2, patience: 3 * every}
+	// It learns with its next report that one is gone, and each that does not answer costs
+	// it one try.
+	notReached := len(c.Config.Members) + 1 - len(c.Reached())
+	d.search = every*5/4 + time.Duration(max(1, notReached))*workerTry
 	if around.manyRelayed() {
 		// It may be this node's own links: a leader that had lost the workers
 		// returned 150 of 330 on their way to its peers, and 80 still when it
 		// gave up no more than an eighth, but after three intervals.
-		part, patience = 8, max(patience, search+every/2)
+		d.part, d.patience = 8, max(d.patience, d.search+every/2)
 	}
-	c.noteLostCarriers(around, now)
-	patienceWith := func(m *fleet.Machine) time.Duration {
-		if at, ok := c.carrierLost[m.Via]; ok && now.Sub(at) < lease {
-			// It looks for another node; its last answer may have waited for
-			// commands, and for the next batch.
-			return max(patience, search+3*every/2)
-		}
-		return patience
+	return d
+}
+
+// cutOff reports whether a machine is behind a cut. When a cut ends, machines come back one
+// after the other: the last ones must not be taken for lost because the others are back.
+func (d *doubts) cutOff(m *fleet.Machine) bool {
+	at, ok := d.c.cutOff[m.Zone]
+	return ok && d.now.Sub(at) < d.c.Config.Lease()
+}
+
+// patienceWith is for how long a machine may be silent.
+func (d *doubts) patienceWith(m *fleet.Machine) time.Duration {
+	if at, ok := d.c.carrierLost[m.Via]; ok && d.now.Sub(at) < d.c.Config.Lease() {
+		// It looks for another node; its last answer may have waited for
+		// commands, and for the next batch.
+		return max(d.patience, d.search+3*d.c.Config.ReportEvery()/2)
 	}
-	lost := func(m *fleet.Machine) bool {
-		if !onlyHere(around.carriers) && around.carriers[m.Via].most(part) {
-			return false // it is rather the controller that they report to
-		}
-		return !cutOff(m) && !around.zones[m.Zone].most(part)
+	return d.patience
+}
+
+// alone reports whether a silent machine is one of few: if not, it is rather its controller or
+// its zone that is not reached.
+func (d *doubts) alone(m *fleet.Machine) bool {
+	if !onlyHere(d.around.carriers) && d.around.carriers[m.Via].most(d.part) {
+		return false
 	}
-	// Behind a cut, a node without the state service stops renewing leases in
-	// time for withdrawn tasks to die: after this, nothing there runs on.
-	over := time.Duration(c.Config.Cluster.Workers.CancelS * float64(time.Second))
-	settled := now.Sub(c.steady) > 2*lease
-	c.fleet.Each(func(m *fleet.Machine) {
-		switch {
-		case m.State == fleet.Returning || m.State == fleet.Gone:
-		case m.Failed:
-			c.startReturn(m, now, "failed")
-		case m.State == fleet.Silent && (!cutOff(m) || now.Sub(m.Heard) > over):
-			c.startReturn(m, now, "silent")
-		case lost(m) && (m.State == fleet.Ready && now.Sub(c.steady) > lease && now.Sub(m.Heard) > patienceWith(m) ||
-			m.State == fleet.Booting && m.LiveCount() > 0 && now.Sub(m.Heard) > search):
-			// Some machines fall silent while the others go on: they have
-			// stopped, hang or are cut off, and by the time they come back
-			// their leases have ended. Waiting would only cost time. Those that
-			// a new leader has not heard yet may still be looking for it, and
-			// get a little longer.
-			c.startReturn(m, now, "silent while others report")
-		case m.State == fleet.Booting && m.LiveCount() == 0:
-			boot := 60.0
-			if r := c.machineType(m.Type); r != nil {
-				boot = r.BootS
-			}
-			if now.Sub(m.Born).Seconds() > 3.5*boot && settled {
-				c.startReturn(m, now, "never came up")
-			}
-		case m.Warned && m.LiveCount() == 0 && m.State == fleet.Ready:
-			c.startReturn(m, now, "is being taken back")
-		}
-		if m.Warned {
-			m.Each(func(a *fleet.Attempt) {
-				if j := c.jobs[a.UID]; j != nil && a.Live() && !a.Stopping {
-					c.stop(a, j.rec.Spec.StowS+c.Config.Cluster.Workers.ReportS, now, "spot notice")
-				}
-			})
+	return !d.cutOff(m) && !d.around.zones[m.Zone].most(d.part)
+}
+
+// lostBecause is why a machine is given up; "" if it is not.
+func (d *doubts) lostBecause(m *fleet.Machine) string {
+	silent := d.now.Sub(m.Heard)
+	switch {
+	case m.State == fleet.Returning || m.State == fleet.Gone:
+		return ""
+	case m.Failed:
+		return "failed"
+	case m.State == fleet.Silent && (!d.cutOff(m) || silent > d.tasksEndWithin()):
+		return "silent"
+	case d.silentAlone(m, silent):
+		return "silent while others report"
+	case d.neverCameUp(m):
+		return "never came up"
+	case m.Warned && m.LiveCount() == 0 && m.State == fleet.Ready:
+		return "is being taken back"
+	}
+	return ""
+}
+
+// tasksEndWithin is how long after its last report nothing of a machine behind a cut runs on: a
+// node without the state service stops renewing leases in time for withdrawn tasks to die.
+func (d *doubts) tasksEndWithin() time.Duration {
+	return time.Duration(d.c.Config.Cluster.Workers.CancelS * float64(time.Second))
+}
+
+// silentAlone reports whether a machine has fallen silent while the others go on: it has
+// stopped, hangs or is cut off, and by the time it comes back its lease has ended. Waiting would
+// only cost time. Those that a new leader has not heard yet may still be looking for it, and get
+// a little longer.
+func (d *doubts) silentAlone(m *fleet.Machine, silent time.Duration) bool {
+	switch {
+	case m.State == fleet.Ready:
+		return d.now.Sub(d.c.steady) > d.c.Config.Lease() && silent > d.patienceWith(m) && d.alone(m)
+	case m.State == fleet.Booting && m.LiveCount() > 0:
+		return silent > d.search && d.alone(m)
+	}
+	return false
+}
+
+// neverCameUp reports whether a machine should have come up long ago.
+func (d *doubts) neverCameUp(m *fleet.Machine) bool {
+	if m.State != fleet.Booting || m.LiveCount() > 0 {
+		return false
+	}
+	const usualS, boots = 60, 3.5
+	boot := float64(usualS)
+	if r := d.c.machineType(m.Type); r != nil {
+		boot = r.BootS
+	}
+	settled := d.now.Sub(d.c.steady) > 2*d.c.Config.Lease()
+	return settled && d.now.Sub(m.Born).Seconds() > boots*boot
+}
+
+// saveTasks stops the tasks of a machine that the cloud takes back.
+func (c *Controller) saveTasks(m *fleet.Machine, now time.Time) {
+	m.Each(func(a *fleet.Attempt) {
+		if j := c.jobs[a.UID]; j != nil && a.Live() && !a.Stopping {
+			c.stop(a, j.rec.Spec.StowS+c.Config.Cluster.Workers.ReportS, now, "spot notice")
 		}
 	})
 }
