--- a/internal/api/admin.go
+++ b/internal/api/admin.go
@@ -35,6 +35,9 @@
 	gauge("lotusstile_state_proof_seconds", func() float64 { return min(n.store.ProofAge(), time.Hour).Seconds() })
 	gauge("lotusstile_cluster_version", func() float64 { return float64(n.version.InForce()) })
 	gauge("lotusstile_rejected_commits_total", func() float64 { return float64(n.store.Rejections()) })
+	gauge(`lotusstile_refused_pages_total{from="state"}`, func() float64 { return float64(n.store.RefusedPages()) })
+	gauge(`lotusstile_refused_pages_total{from="cloud"}`, func() float64 { return float64(n.cloud.RefusedPages()) })
+	n.refusedBatches = n.meters.NewCounter("lotusstile_refused_batches_total")
 	gauge("lotusstile_connections", func() float64 {
 		if l := n.connections.Load(); l != nil {
 			return float64(l.Open())
--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -42,7 +42,9 @@
 	load      load
 	meters    *metrics.Set
 	rounds    *metrics.Histogram
-	requests  sync.Map // *metrics.Counter by requestKind
+	// refusedBatches counts batches of relayed reports that could not be taken apart.
+	refusedBatches *metrics.Counter
+	requests       sync.Map // *metrics.Counter by requestKind
 
 	lead        atomic.Pointer[controller.Controller]
 	cat         atomic.Pointer[wire.Catalog]
--- a/internal/api/relay.go
+++ b/internal/api/relay.go
@@ -95,7 +95,11 @@
 	if receiver == nil {
 		return peer.RelayReply{Term: n.elector.View().Term}, nil
 	}
-	return receiver.Exchange(a)
+	reply, err := receiver.Exchange(a)
+	if errors.Is(err, relay.ErrMalformedBatch) {
+		n.refusedBatches.Inc()
+	}
+	return reply, err
 }
 
 // answerRelayed decides the answer to one relayed report.
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -33,6 +34,7 @@
 	http    *http.Client
 	timeout time.Duration
 	calls   *rate.Limiter
+	refused atomic.Uint64 // pages that were not in order
 	lists   *rate.Limiter // for pages of the machine list: they leave calls for rentals and returns
 }
 
@@ -185,9 +187,16 @@
 	if err := c.must(ctx, http.MethodGet, "/machines?"+query.Encode(), nil, &page); err != nil {
 		return page, err
 	}
-	return page, checkPage(&page, after)
+	err := checkPage(&page, after)
+	if err != nil {
+		c.refused.Add(1)
+	}
+	return page, err
 }
 
+// RefusedPages counts the pages of the machine list that were not in order.
+func (c *Client) RefusedPages() uint64 { return c.refused.Load() }
+
 // checkPage refuses a page that repeats or leaves out machines, as far as it tells.
 func checkPage(page *wire.HostList, after string) error {
 	if len(page.Hosts) > pageSize {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -72,6 +72,7 @@
 	epoch   time.Time
 	// rejections counts commits that were answered 400.
 	rejections atomic.Uint64
+	refused    atomic.Uint64 // pages of listings that were not in order
 
 	mu       sync.Mutex
 	promised time.Time // until when users were told to stay away
@@ -225,6 +226,7 @@
 			epoch = page.Epoch
 		}
 		if err := checkPage(&page, under, after); err != nil {
+			c.refused.Add(1)
 			return nil, 0, fmt.Errorf("list %s: %w", under, err)
 		}
 		rows = append(rows, page.Rows...)
@@ -334,6 +336,9 @@
 // Rejections counts the commits that the service has rejected as malformed or too large.
 func (c *Client) Rejections() uint64 { return c.rejections.Load() }
 
+// RefusedPages counts the pages of listings that were not in order.
+func (c *Client) RefusedPages() uint64 { return c.refused.Load() }
+
 // Changes waits up to hold for changes under a prefix after an epoch.
 func (c *Client) Changes(ctx context.Context, under string, after uint64, hold time.Duration) (wire.Changes, error) {
 	q := url.Values{"Under": {under}, "After": {strconv.FormatUint(after, 10)},
