--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -344,28 +345,41 @@
 		}
 		reply(rw, http.StatusOK, struct{}{})
 	case r.URL.Path == "/machines":
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		out := wire.HostList{Hosts: []wire.ListedHost{}}
-		lag := w.Cfg.ListLag()
-		for _, wk := range w.workers {
-			age := time.Since(wk.born)
-			if age < lag || wk.gone() > lag {
-				continue
-			}
-			status := wire.HostRunning
-			if age < wk.boot {
-				status = wire.HostBooting
-			}
-			out.Hosts = append(out.Hosts, wire.ListedHost{UID: wk.Host, Address: wk.Address, MachineType: wk.Rig, Zone: wk.Yard, Spot: wk.Spot, Status: status, AgeS: age.Seconds()})
+		w.list(rw, r)
+	}
+}
+
+// mostListed is how many machines a page of the list has at most.
+const mostListed = 500
+
+// list answers a page of the machine list, as old as the settings say.
+func (w *World) list(rw http.ResponseWriter, r *http.Request) {
+	most, err := strconv.Atoi(r.URL.Query().Get("Most"))
+	if err != nil || most < 1 || most > mostListed {
+		reply(rw, http.StatusBadRequest, wire.Fault{Error: "malformed"})
+		return
+	}
+	after := r.URL.Query().Get("After")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := wire.HostList{Hosts: []wire.ListedHost{}}
+	lag := w.Cfg.ListLag()
+	for _, wk := range w.workers {
+		age := time.Since(wk.born)
+		if age < lag || wk.gone() > lag || wk.Host <= after {
+			continue
 		}
-		sort.Slice(out.Hosts, func(i, j int) bool { return out.Hosts[i].UID < out.Hosts[j].UID })
-		after := r.URL.Query().Get("After")
-		for len(out.Hosts) > 0 && out.Hosts[0].UID <= after {
-			out.Hosts = out.Hosts[1:]
+		status := wire.HostRunning
+		if age < wk.boot {
+			status = wire.HostBooting
 		}
-		reply(rw, http.StatusOK, out)
+		out.Hosts = append(out.Hosts, wire.ListedHost{UID: wk.Host, Address: wk.Address, MachineType: wk.Rig, Zone: wk.Yard, Spot: wk.Spot, Status: status, AgeS: age.Seconds()})
+	}
+	sort.Slice(out.Hosts, func(i, j int) bool { return out.Hosts[i].UID < out.Hosts[j].UID })
+	if out.More = len(out.Hosts) > most; out.More {
+		out.Hosts = out.Hosts[:most]
 	}
+	reply(rw, http.StatusOK, out)
 }
 
 func (w *World) rent(rw http.ResponseWriter, q wire.RentRequest) {
