Arrays of more pieces than a commit has conditions are called done

Cause: archive counted all pieces of a job against the conditions of the one commit that only writes its status. Ruled out: lost commits (41 conflicts, all read again), placement records that do not fit. What a batch really writes counts now.

Beside it: the check that a report fits a body counted live tasks only, and passed over places that were too large as a whole. Both tests fail on the code before.

--- a/internal/controller/events.go
+++ b/internal/controller/events.go
@@ -51,6 +51,11 @@
 	c.views.job(j.uid)
 	c.archived(j.uid)
 	j.each(func(a *fleet.Attempt) { c.stop(a, 0, now, "job is archived") })
+	c.recordEnds(j, now)
+}
+
+// recordEnds lets workers reap all that has ended of a job which is over by its record.
+func (c *Controller) recordEnds(j *job, now time.Time) {
 	for _, p := range j.pieces {
 		for _, a := range p.ended {
 			c.fleet.Record(a, now)
--- /dev/null
+++ b/internal/controller/huge_test.go
@@ -0,0 +1,112 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/config"
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// hugeArray is a leader beside services with usual limits, a machine for every 4,000
+// tasks, and an array of small tasks.
+func hugeArray(t *testing.T, now *time.Time, tasks int, need fleet.Res) (*limited, *Controller, *job) {
+	services := &limited{t: t, limits: config.StateLimits{Rps: 250, WriteRps: 100, ValueKb: 8, TxnOps: 24}, items: map[string]wire.Item{}}
+	c := services.leaderOf(5, now)
+	spec := wire.Work{UID: "run-000001", Berth: "huge", Crew: "crew", Shape: wire.Sweep, Rank: wire.Standard, Legs: tasks, Cores: need.Cores, RAMGb: need.RAM, Rollout: "img"}
+	rec := ledger.Job{Spec: spec, Status: wire.JobQueued, Per: ledger.TasksPerPiece(8192, 8192)}
+	services.items[ledger.JobKey(spec.UID)] = wire.Item{Key: ledger.JobKey(spec.UID), Value: ledger.Encode(rec), Stamp: 1}
+	c.takeJob(spec.UID, ledger.Entry{Job: &rec, Stamp: 1})
+	var hosts []wire.ListedHost
+	for i := range tasks/4000 + 1 {
+		hosts = append(hosts, wire.ListedHost{UID: fmt.Sprintf("m-%06d", i), MachineType: "g8", Zone: "a", Status: "running"})
+	}
+	c.listed(hosts, *now)
+	return services, c, c.jobs[spec.UID]
+}
+
+// reportAll lets every machine report the attempts that it has been sent, with a status, and
+// obey what it is told.
+func reportAll(t *testing.T, c *Controller, tick uint64, status wire.TaskStatus, cause wire.Cause) {
+	c.Mirror.Apply(wire.Changes{}, 0, c.now()) // the jobs are read all the time
+	c.fleet.Each(func(m *fleet.Machine) {
+		r := wire.Report{Host: m.ID, MachineType: "g8", Zone: m.Zone, Session: 1, Sequence: tick, Token: c.term}
+		m.Each(func(a *fleet.Attempt) {
+			if a.State > fleet.Committed && a.State != fleet.Recorded {
+				r.Tasks = append(r.Tasks, wire.TaskReport{Task: a.Name(), Try: a.Try, Status: status, Cause: cause})
+			}
+		})
+		if body := len(ledger.Encode(r)); body > wire.MaxBody {
+			t.Errorf("%s reports %d tasks in %d bytes", m.ID, len(r.Tasks), body)
+		}
+		c.CheckIn(t.Context(), &r, CheckInOptions{})
+	})
+}
+
+// writeAll commits all that is due.
+func writeAll(t *testing.T, c *Controller) {
+	for b := c.collect(); b != nil; b = c.collect() {
+		c.commit(t.Context(), b)
+	}
+}
+
+// An array with more pieces than a commit may have conditions is called done once its tasks
+// are, its workers are told to reap, and its records go. All its pieces were once counted
+// against the one commit that only writes its status: it stayed unfinished for ever.
+func TestHugeArrayIsFinished(t *testing.T) {
+	const tasks = 25_000
+	now := time.Unix(10_000, 0)
+	services, c, j := hugeArray(t, &now, tasks, fleet.Res{Cores: 0.25, RAM: 1})
+	tick := uint64(1)
+	reportAll(t, c, tick, "", "")
+	for rounds := 0; j.done < tasks && rounds < 1000; rounds++ {
+		now = now.Add(3 * time.Second)
+		c.round(time.Second)
+		writeAll(t, c)
+		reportAll(t, c, tick+1, wire.TaskRunning, "")
+		reportAll(t, c, tick+2, wire.TaskEnded, wire.CauseDone)
+		tick += 2
+	}
+	if j.done != tasks {
+		t.Fatalf("%d tasks are done", j.done)
+	}
+	now = now.Add(3 * time.Second)
+	writeAll(t, c)
+	if c.jobs[j.uid] != nil {
+		t.Errorf("the job is still in the picture as %s", j.rec.Status)
+	}
+	if left := len(services.items); left != 1 || services.items[ledger.FinalKey(j.uid)].Stamp == 0 {
+		t.Errorf("%d records are left", left)
+	}
+	c.fleet.Each(func(m *fleet.Machine) {
+		m.Each(func(a *fleet.Attempt) {
+			if a.State != fleet.Recorded {
+				t.Fatalf("%s is %s", a.Name(), a.State)
+			}
+		})
+	})
+}
+
+// A machine gets no more tasks than its report has room for, those that have ended and wait to
+// be reaped included, but as many as that: an array of which more would fit a machine once
+// started nothing at all.
+func TestReportsOfTinyTasksFitABody(t *testing.T) {
+	now := time.Unix(10_000, 0)
+	_, c, j := hugeArray(t, &now, 3000, fleet.Res{Cores: 0.02, RAM: 0.1})
+	reportAll(t, c, 1, "", "")
+	c.round(time.Second)
+	writeAll(t, c)
+	if j.live != maxTasks {
+		t.Fatalf("%d tasks are started, want %d", j.live, maxTasks)
+	}
+	reportAll(t, c, 2, wire.TaskEnded, wire.CauseDone)
+	c.round(time.Second) // nothing is reaped yet: the ends are written later
+	writeAll(t, c)
+	reportAll(t, c, 3, wire.TaskEnded, wire.CauseDone)
+	if j.live != 0 {
+		t.Errorf("%d tasks are started beside %d that are not reaped", j.live, maxTasks)
+	}
+}
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -87,6 +87,27 @@
 	return wire.JobDone
 }
 
+// storedPieces is how many pieces of the job have a record.
+func (j *job) storedPieces() int {
+	stored := 0
+	for _, p := range j.pieces {
+		if p.stamp != 0 {
+			stored++
+		}
+	}
+	return stored
+}
+
+// hasUnsurePiece reports whether the record of some piece has to be read again first.
+func (j *job) hasUnsurePiece() bool {
+	for _, p := range j.pieces {
+		if p.unsure {
+			return true
+		}
+	}
+	return false
+}
+
 // piece finds or makes the piece that a task belongs to.
 func (j *job) piece(leg int) *piece {
 	n := leg / j.rec.Per
--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -96,6 +96,18 @@
 // report takes for one.
 const maxTasks = wire.MaxBody / 100
 
+// reportableTasks is how many tasks of a place its machine can report beside those that it
+// has, ended ones that it has not been told to reap included: a worker whose report does not
+// fit a body is answered by nobody, and its lease ends with all its tasks. Of an array as many start
+// as fit; a gang starts whole or not at all.
+func reportableTasks(m *fleet.Machine, place sched.Place) int {
+	room := max(0, maxTasks-m.AttemptCount())
+	if place.Job.Spec.Shape == wire.Group && place.Count > room {
+		return 0
+	}
+	return min(place.Count, room)
+}
+
 // start turns the places of a plan into planned attempts, within the write
 // budget; what overflows waits for a later round. Only what is going to be
 // written counts against it: pieces of withdrawn jobs are not written again, and
@@ -120,10 +132,7 @@
 		if m == nil || budget <= 0 && !j.writes(now) {
 			continue
 		}
-		if m.LiveCount()+pl.Count > maxTasks {
-			continue // its report would not fit a body
-		}
-		for _, leg := range j.pick(pl.Count) {
+		for _, leg := range j.pick(reportableTasks(m, pl)) {
 			p := j.piece(leg)
 			if !p.hasRoom(leg, m, c.pieceBytes()) {
 				j.freed = append(j.freed, leg)
--- a/internal/controller/writer.go
+++ b/internal/controller/writer.go
@@ -142,7 +142,7 @@
 		}
 		needsJob := false
 		for _, p := range j.pieces {
-			if !p.dirty || p.unsure || p.due.After(now) || len(b.tx.Apply) >= ops || size > maxTx || len(b.tx.Guards)+2 > 4*ops {
+			if !p.dirty || p.unsure || p.due.After(now) || len(b.tx.Apply) >= ops || size > maxTx || len(b.tx.Guards)+2 > maxGuards(ops) {
 				continue
 			}
 			w := pieceWrite{p: p, seq: p.seq, planned: p.planned(), ended: slices.Clone(p.ended)}
@@ -177,44 +177,28 @@
 	return j.done >= j.rec.Spec.Legs && j.live == 0
 }
 
-// archive adds to a batch what brings a job nearer to its end: its pieces are
-// dropped and its final status takes the place of its record, in one commit if
-// it has room, else over several.
+// archive adds to a batch what brings a job nearer to its end: its pieces are dropped and
+// its final status takes the place of its record, in one commit if a commit holds that, else
+// over several.
 func (c *Controller) archive(b *batch, j *job, ops int) {
-	stored := 0
-	unsure := false
-	for _, p := range j.pieces {
-		if p.stamp != 0 {
-			stored++
-		}
-		unsure = unsure || p.unsure
+	if j.hasUnsurePiece() {
+		return
 	}
+	const recordChanges = 2 // the record is dropped, the final status set
+	changes := j.storedPieces() + recordChanges
 	room := ops - len(b.tx.Apply)
-	if unsure || room < 2 || len(b.tx.Guards)+stored+2 > 4*ops {
-		return
+	switch {
+	case changes > ops:
+		c.archiveInParts(b, j, ops)
+	case changes <= room && len(b.tx.Guards)+changes <= maxGuards(ops):
+		c.archiveWhole(b, j)
 	}
+}
+
+// archiveWhole adds to a batch all that is left to do for a job that is over.
+func (c *Controller) archiveWhole(b *batch, j *job) {
 	status := j.outcome()
 	jobGuard := wire.Guard{Key: ledger.JobKey(j.uid), Stamp: j.stamp}
-	if stored+2 > room {
-		if len(b.tx.Apply) > 0 {
-			return // a job of many pieces gets a batch of its own
-		}
-		if !j.rec.Status.Final() {
-			rec := *j.rec
-			rec.Finish(status, c.Config.ValueBytes())
-			b.tx.Guards = append(b.tx.Guards, jobGuard)
-			b.tx.Apply = append(b.tx.Apply, wire.Change{Set: jobGuard.Key, Value: ledger.Encode(rec)})
-			b.jobs = append(b.jobs, jobWrite{j, status, false})
-			return
-		}
-		for _, p := range j.pieces {
-			if p.stamp == 0 || len(b.tx.Apply) >= ops {
-				continue
-			}
-			b.drop(p)
-		}
-		return
-	}
 	b.tx.Guards = append(b.tx.Guards, jobGuard, wire.Guard{Key: ledger.FinalKey(j.uid), Stamp: 0})
 	b.tx.Apply = append(b.tx.Apply, wire.Change{Drop: jobGuard.Key},
 		wire.Change{Set: ledger.FinalKey(j.uid), Value: ledger.Encode(ledger.Final{Status: status})})
@@ -226,6 +210,37 @@
 	b.jobs = append(b.jobs, jobWrite{j, status, true})
 }
 
+// archiveInParts adds to a batch a part of what is left to do for a job that has more pieces
+// than one commit may drop. Its record is given the final status first, since users wait for
+// that; its pieces are dropped later, as many at a time as there is room for. Only what a
+// batch really writes counts against its room: an array of 25,000 tasks whose 295 pieces were
+// all counted, in a service that takes 96 conditions, was never called done.
+func (c *Controller) archiveInParts(b *batch, j *job, ops int) {
+	hasRoom := func() bool { return len(b.tx.Apply) < ops && len(b.tx.Guards) < maxGuards(ops) }
+	if !hasRoom() {
+		return
+	}
+	if !j.rec.Status.Final() {
+		status := j.outcome()
+		rec := *j.rec
+		rec.Finish(status, c.Config.ValueBytes())
+		key := ledger.JobKey(j.uid)
+		b.tx.Guards = append(b.tx.Guards, wire.Guard{Key: key, Stamp: j.stamp})
+		b.tx.Apply = append(b.tx.Apply, wire.Change{Set: key, Value: ledger.Encode(rec)})
+		b.jobs = append(b.jobs, jobWrite{j, status, false})
+		return
+	}
+	for _, p := range j.pieces {
+		if p.stamp != 0 && hasRoom() {
+			b.drop(p)
+		}
+	}
+}
+
+// maxGuards is how many conditions a commit of so many changes may have: the state service
+// takes four times as many as changes.
+func maxGuards(ops int) int { return 4 * ops }
+
 func (b *batch) drop(p *piece) {
 	key := ledger.PieceKey(p.job.uid, p.n)
 	b.tx.Guards = append(b.tx.Guards, wire.Guard{Key: key, Stamp: p.stamp})
@@ -307,6 +322,7 @@
 		rec := *j.rec
 		rec.Status = w.status
 		j.rec, j.stamp = &rec, epoch
+		c.recordEnds(j, now) // the record says that it is over: nothing of it is launched again
 	}
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -162,6 +162,10 @@
 // LiveCount is how many attempts may be on it.
 func (m *Machine) LiveCount() int { return m.live }
 
+// AttemptCount is how many attempts its reports list: those that may be on it, and those that
+// have ended and are not reaped yet.
+func (m *Machine) AttemptCount() int { return len(m.attempts) }
+
 // Orphans is how many running tasks it reports that no record knows.
 func (m *Machine) Orphans() int {
 	n := 0
