What users ask shares a budget of its own; final statuses are told with pings

Holds were refused with 429 and not renewed, leaders changed three times in 40 s, and a new one listed four prefixes again and again for 12 s since one of them was refused each time. Ruled out: the processor (peak 0.46 of the share), the freeze of the leader itself (its successor placed 3 s after it was elected).

Polls of unknown ids took all lookups, and users of finished jobs waited: the leader tells committed final statuses with its counts.

--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -91,7 +91,7 @@
 	st := cfg.StateLimits()
 	n := &Node{
 		cfg:      cfg,
-		store:    store.New(cfg.Services.State, st.Rps, st.WriteRps, timeout, nw.State),
+		store:    store.New(cfg.Services.State, store.Limits{Rps: st.Rps, WriteRps: st.WriteRps, Nodes: len(cfg.Members) + 1}, timeout, nw.State),
 		cloud:    cloud.New(cfg.Services.Cloud, cfg.Cluster.Cloud.Rps, timeout, nw.Cloud),
 		mirror:   ledger.NewMirror(),
 		peers:    peer.Peers(cfg, cfg.HoldTTL()/4, nw.Mesh),
@@ -100,7 +100,7 @@
 		version:  clusterversion.NewTracker(),
 		workers:  &http.Client{Timeout: cfg.ReportEvery(), Transport: nw.Workers},
 	}
-	n.refresher = ledger.NewRefresher(n.mirror, n.store, timeout)
+	n.refresher = ledger.NewRefresher(n.mirror, n.store, n.store.SharedReads(), timeout)
 	n.finals = newFinals(cfg.Cluster.Limits.MemMb)
 	defaults := ledger.DefaultSettings(cfg.Cluster.Workers.ReportS)
 	n.settings.Store(&defaults)
@@ -179,7 +179,7 @@
 		Settings: func() wire.Settings { return *n.settings.Load() }, Rounded: n.rounded,
 		Version: n.version,
 		Saw:     func(t uint64) { n.elector.Saw(t, "") }, Heard: n.heard, Reached: n.reached, RelayReached: n.relayReached,
-		Vacant: n.elector.VacantSince()}
+		Vacant: n.elector.VacantSince(), Final: n.finals.put}
 	n.beginStandby(&deps, term)
 	defer n.endStandby()
 	c := controller.New(deps, term)
@@ -253,6 +253,11 @@
 			slog.Debug("peer not reached", "peer", p.Label, "err", err)
 		} else if r.Leading {
 			n.counts.update(p.Label, args, r, n.mirror)
+			for _, view := range r.Counts {
+				if view.Status.Final() {
+					n.finals.put(view.UID, view.Status)
+				}
+			}
 			n.elector.Saw(r.Term, p.Label)
 		}
 		n.raiseVersion(ctx)
