Who is at fault for failures is a matter of evidence; suspects are tried with one task

Before, a second failing machine condemned the job and cleared others by a count; its whole array was started again every 30 s at most, and a new leader knew of it only with a warm standby.

internal/blame: loopy belief propagation in a noisy-or model over the failures of the last twelve leases; what a mistaken job explains counts against no machine, a job that has completed a task is not mistaken, a machine's evidence begins anew at each success. Ways weighed: counts (as before), a sequential test of each machine alone (blames healthy machines for mistaken jobs), this. A suspect waits an eighth of a lease to three leases, with jitter, and is tried with one task; a leader without its predecessor's views suspects what was tried as often as it has tasks and never done. Metrics: suspected jobs, blamed machines.

--- a/internal/api/admin.go
+++ b/internal/api/admin.go
@@ -97,6 +97,8 @@
 			metrics.WriteGaugeUint64(&out, fmt.Sprintf(`lotusstile_tasks{class=%q,state="placed"}`, class), uint64(cl.Placed))
 		}
 		metrics.WriteGaugeUint64(&out, "lotusstile_window", uint64(st.Window))
+		metrics.WriteGaugeUint64(&out, "lotusstile_suspected_jobs", uint64(st.Suspects))
+		metrics.WriteGaugeUint64(&out, "lotusstile_blamed_machines", uint64(st.Blamed))
 		metrics.WriteCounterUint64(&out, "lotusstile_stale_nodes_total", l.StaleNodes())
 	}
 	return c.Blob(http.StatusOK, "text/plain; version=0.0.4", out.Bytes())
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"lotusstile.dev/lotusstile/internal/blame"
 	"lotusstile.dev/lotusstile/internal/clusterversion"
 	"lotusstile.dev/lotusstile/internal/config"
 	"lotusstile.dev/lotusstile/internal/fleet"
@@ -107,6 +108,7 @@
 	countsRevision uint64        // counts changes of jobs' counts of tasks
 	finals         []finalStatus // final statuses to tell, by revision: finals.go
 	fleet          *fleet.Fleet
+	evidence       *blame.Evidence // who fails where: failures.go
 
 	// Rounds: round.go, picture.go, nodes.go, spare.go.
 	window        int
@@ -152,6 +154,7 @@
 		jobs: map[string]*job{}, graph: pipeline.New(), pending: map[string]*rental{}, refused: map[provision.Group]refusal{},
 		arrive: map[string]*arrivals{}, cutOff: map[string]time.Time{}, noted: map[string]imageNote{}, announced: map[string]time.Time{}, waitingAnswers: map[string]chan struct{}{}, carrierLost: map[string]time.Time{}}
 	c.fleet = fleet.New(term, d.Config.Lease(), c)
+	c.evidence = blame.New(evidenceLeases * d.Config.Lease())
 	c.returns = map[string]*pendingReturn{}
 	c.nodes = newKeptNodes()
 	c.countsRevision = 1
@@ -274,6 +277,9 @@
 	slog.Info("machine", "host", m.ID, "from", from.String(), "to", m.State.String(), "shift", m.Session, "why", why)
 	c.views.machine(m.ID)
 	c.noteReady(m)
+	if m.State == fleet.Gone {
+		c.evidence.ForgetMachine(m.ID)
+	}
 }
 
 // refresh takes a job's record, as just read, into the picture.
--- a/internal/controller/events.go
+++ b/internal/controller/events.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"maps"
 	"time"
 
 	"lotusstile.dev/lotusstile/internal/fleet"
@@ -120,8 +119,8 @@
 			p.done.SetDone(i)
 			j.done++
 		}
-		j.fails = 0
-		clear(a.Machine.Errors)
+		c.evidence.Completed(j.uid, a.Machine.ID)
+		j.trust()
 	case wire.CauseError:
 		c.blame(j, a.Machine, now)
 	case wire.CauseNoRoom, wire.CauseInUse, wire.CauseNoSuch:
@@ -135,38 +134,3 @@
 	}
 	p.ended = append(p.ended, a)
 }
-
-// blame decides who is at fault for an error. A job that fails on a second
-// machine is taken to be mistaken itself: it backs off and condemns nobody. A
-// machine that fails several jobs is passed over for a while.
-func (c *Controller) blame(j *job, m *fleet.Machine, now time.Time) {
-	lease := c.Config.Lease()
-	maps.DeleteFunc(j.avoid, func(_ string, at time.Time) bool { return now.Sub(at) > 12*lease })
-	j.avoid[m.ID] = now
-	j.fails++
-	others := len(m.Errors)
-	if _, own := m.Errors[j.uid]; own {
-		others--
-	}
-	if len(j.avoid) >= 2 && others == 0 {
-		j.heldUntil = now.Add(min(3*lease, time.Second<<max(0, min(j.fails-2, 10))))
-		slog.Info("job fails on several machines", "uid", j.uid, "fails", j.fails)
-		for id := range j.avoid {
-			if o := c.fleet.Get(id); o != nil && o.Errors[j.uid] != (time.Time{}) {
-				if delete(o.Errors, j.uid); len(o.Errors) == 0 {
-					o.AvoidUntil = time.Time{}
-					c.fleet.Touch(o)
-				}
-			}
-		}
-		return
-	}
-	m.Errors[j.uid] = now
-	rest := lease
-	if len(m.Errors) >= 2 {
-		rest = 6 * lease
-	}
-	m.AvoidUntil = now.Add(rest)
-	c.fleet.Touch(m)
-	slog.Info("machine passed over", "host", m.ID, "jobs", len(m.Errors), "for", rest.String())
-}
--- /dev/null
+++ b/internal/controller/failures.go
@@ -0,0 +1,132 @@
+package controller
+
+import (
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// What follows from tasks that fail. Who is at fault is a matter of evidence (package blame). A
+// job that is mistaken is held back ever longer, and then tried with one task; a machine that is
+// faulty is passed over for a while.
+
+const (
+	// evidenceLeases is for how many leases a failure counts.
+	evidenceLeases = 12
+	// suspectLeases and faultyLeases are for how many leases a machine is passed over that a
+	// task has failed on, and one that is faulty by all that is known.
+	suspectLeases, faultyLeases = 1, 6
+	// firstHoldShare of a lease is the longest that a job is held back for the first time. It
+	// doubles each time, up to mostHoldLeases.
+	firstHoldShare = 1. / 8
+	mostHoldLeases = 3
+)
+
+// blame takes the failure of a task into the evidence, and acts on what that says.
+func (c *Controller) blame(j *job, m *fleet.Machine, now time.Time) {
+	c.evidence.Failed(j.uid, m.ID, j.done > 0, now)
+	maps.DeleteFunc(j.avoid, func(_ string, at time.Time) bool { return now.Sub(at) > evidenceLeases*c.Config.Lease() })
+	j.avoid[m.ID] = now
+	if c.evidence.SurelyMistaken(j.uid) {
+		c.holdBack(j, now)
+		c.clearMachines(j)
+	}
+	switch {
+	case c.evidence.SurelyFaulty(m.ID):
+		c.passOver(m, faultyLeases*c.Config.Lease(), now)
+	case !j.suspect:
+		c.passOver(m, suspectLeases*c.Config.Lease(), now)
+	}
+}
+
+// holdBack lets a mistaken job wait, longer each time, so that many do not come back together. Tasks of
+// it that fail meanwhile were started before and say nothing new.
+func (c *Controller) holdBack(j *job, now time.Time) {
+	if now.Before(j.heldUntil) {
+		return
+	}
+	lease := c.Config.Lease()
+	most := min(mostHoldLeases*lease, time.Duration(firstHoldShare*float64(lease))<<min(j.fails, 16))
+	wait := most/2 + rand.N(most/2)
+	j.fails++
+	j.suspect, j.heldUntil = true, now.Add(wait)
+	c.views.job(j.uid)
+	slog.Info("job is held back", "uid", j.uid, "times", j.fails, "for", wait.String(), "mistaken", c.evidence.Mistaken(j.uid))
+}
+
+// trust ends the suspicion against a job: a task of it works.
+func (j *job) trust() { j.suspect, j.fails = false, 0 }
+
+// passOver keeps launches from a machine for a while.
+func (c *Controller) passOver(m *fleet.Machine, rest time.Duration, now time.Time) {
+	if until := now.Add(rest); until.After(m.AvoidUntil) {
+		m.AvoidUntil, m.Blamed = until, true
+		c.fleet.Touch(m)
+		slog.Info("machine passed over", "host", m.ID, "for", rest.String(), "faulty", c.evidence.Faulty(m.ID))
+	}
+}
+
+// clearMachines takes back machines that were passed over for the failures of a job which is
+// at fault itself.
+func (c *Controller) clearMachines(j *job) {
+	for _, id := range c.evidence.Machines(j.uid) {
+		m := c.fleet.Get(id)
+		if m == nil || !m.Blamed || c.evidence.SurelyFaulty(id) {
+			continue
+		}
+		m.AvoidUntil, m.Blamed = time.Time{}, false
+		c.fleet.Touch(m)
+	}
+}
+
+// probes reports whether a job starts with one task only: it is suspected, and its tasks need
+// not start together. Whole arrays that were tried again took room, images and changes of the
+// state service from others, only to fail.
+func (j *job) probes() bool {
+	return j.suspect && j.rec.Spec.Shape == wire.Sweep && !j.rec.Spec.Together
+}
+
+// works reports whether a task of the job has run for a lease: a mistaken one fails as it starts.
+func (c *Controller) works(j *job, now time.Time) bool {
+	works := false
+	j.each(func(a *fleet.Attempt) {
+		works = works || a.State == fleet.Running && !a.RunAt.IsZero() && now.Sub(a.RunAt) > c.Config.Lease()
+	})
+	return works
+}
+
+// mayPlace is how many of the waiting tasks of a job may be placed now.
+func (c *Controller) mayPlace(j *job, now time.Time) int {
+	waiting := j.waiting()
+	if waiting == 0 || now.Before(j.heldUntil) {
+		return 0
+	}
+	if !j.probes() {
+		return waiting
+	}
+	if c.works(j, now) {
+		j.trust()
+		return waiting
+	}
+	return max(0, min(waiting, 1-j.live))
+}
+
+// suspectByRecords is what a new leader can tell of a job from its records alone: if nothing of
+// it is done, and yet it has been tried as often as it has tasks, and twice at least, it may be
+// mistaken. It is tried with one task then; if others were to blame, that costs little.
+func (j *job) suspectByRecords() {
+	if j.rec.Spec.Shape != wire.Sweep || j.done > 0 {
+		return
+	}
+	tries := -j.live
+	for _, p := range j.pieces {
+		tries += int(p.next) - 1
+	}
+	if tries >= max(2, j.rec.Spec.Legs) {
+		j.suspect = true
+	}
+}
--- /dev/null
+++ b/internal/controller/failures_test.go
@@ -0,0 +1,175 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// broken is a leader beside machines of which one may be faulty, with a mistaken array and others.
+type broken struct {
+	t        *testing.T
+	c        *Controller
+	now      time.Time
+	tick     uint64
+	faulty   string          // machine that fails all tasks
+	mistaken map[string]bool // jobs that fail everywhere
+	failed   map[string]int  // by job
+}
+
+func newBroken(t *testing.T, machines, tasks int) (*broken, *limited, *job) {
+	b := &broken{t: t, now: time.Unix(10_000, 0), tick: 1, mistaken: map[string]bool{}, failed: map[string]int{}}
+	services, c, j := leaderWithArray(t, &b.now, machines, tasks, fleet.Res{Cores: 16, RAM: 1})
+	b.c = c
+	b.c.now = func() time.Time { return b.now }
+	b.c.steady = b.now.Add(time.Hour) // idle machines stay
+	b.mistaken[j.uid] = true
+	return b, services, j
+}
+
+// outcome: whoever is at fault fails tasks as they start; others run to their end in two steps.
+func (b *broken) outcome(a *fleet.Attempt) (wire.TaskStatus, wire.Cause) {
+	switch {
+	case a.State >= fleet.Ended:
+		return wire.TaskEnded, a.Cause
+	case b.mistaken[a.UID] || a.Machine.ID == b.faulty:
+		b.failed[a.UID]++
+		return wire.TaskEnded, wire.CauseError
+	case a.State == fleet.Running:
+		return wire.TaskEnded, wire.CauseDone
+	}
+	return wire.TaskRunning, ""
+}
+
+// step is a second: a round, its writes, and a report of each machine.
+func (b *broken) step() {
+	b.now = b.now.Add(time.Second)
+	b.tick++
+	b.c.round(time.Second)
+	writeAll(b.t, b.c)
+	reportAll(b.t, b.c, b.tick, b.outcome)
+}
+
+// add brings a job of some tasks that can be done.
+func (b *broken) add(uid string, tasks int) *job {
+	spec := wire.Work{UID: uid, Berth: "good", Crew: "crew", Shape: wire.Sweep, Rank: wire.Standard, Legs: tasks, Cores: 16, RAMGb: 1, Rollout: "img"}
+	b.c.takeJob(uid, ledger.Entry{Job: &ledger.Job{Spec: spec, Status: wire.JobQueued, Per: 8}, Stamp: 1})
+	return b.c.jobs[uid]
+}
+
+// An array that fails everywhere is tried again ever less often, and with one task at a time: 25
+// tasks once failed together, again and again, in room that others could have used. No machine is passed
+// over for it for longer than the first doubt lasts, and it is never given up.
+func TestMistakenArrayIsTriedWithOneTask(t *testing.T) {
+	const tasks, minutes = 25, 5
+	b, _, j := newBroken(t, 10, tasks)
+	for range 20 {
+		b.step()
+	}
+	first := b.failed[j.uid]
+	if first < tasks/2 {
+		t.Fatalf("%d tasks have failed", first)
+	}
+	for i := range minutes * 60 {
+		b.step()
+		if j.live > 1 {
+			t.Fatalf("%d tasks are tried at once", j.live)
+		}
+		b.c.fleet.Each(func(m *fleet.Machine) {
+			if i > 5 && !m.Takes(b.now) {
+				t.Fatalf("%s is passed over, faulty with %.2f", m.ID, b.c.evidence.Faulty(m.ID))
+			}
+		})
+	}
+	again := b.failed[j.uid] - first
+	if least := minutes * 60 / 31; again < least || again > 2*least+8 {
+		t.Errorf("%d tasks are tried in %d minutes", again, minutes)
+	}
+	// Once what it lacked is there, it runs whole.
+	b.mistaken[j.uid] = false
+	for range 60 {
+		b.step()
+	}
+	if b.c.jobs[j.uid] != nil && j.done != tasks {
+		t.Errorf("%d of %d tasks are done", j.done, tasks)
+	}
+}
+
+// A faulty machine is found while jobs fail by mistakes of their own, and it comes back once
+// its tasks work again.
+func TestFaultyMachineIsFoundBesideMistakenJobs(t *testing.T) {
+	b, _, _ := newBroken(t, 6, 12)
+	b.faulty = "m-000002"
+	good := map[string]*job{}
+	passedOver := 0
+	watch := func() {
+		b.step()
+		if m := b.c.fleet.Get(b.faulty); !m.Takes(b.now) {
+			passedOver++
+		}
+		b.c.fleet.Each(func(m *fleet.Machine) {
+			if m.ID != b.faulty && b.c.evidence.SurelyFaulty(m.ID) {
+				t.Errorf("%s is taken for faulty", m.ID)
+			}
+		})
+	}
+	for i := range 40 {
+		uid := fmt.Sprintf("run-0010%02d", i)
+		good[uid] = b.add(uid, 8)
+		watch()
+		watch()
+	}
+	if passedOver < 60 {
+		t.Errorf("the faulty machine is passed over for %d of 80 s", passedOver)
+	}
+	for range 30 {
+		watch()
+	}
+	for uid, j := range good {
+		if b.c.jobs[uid] != nil && j.done < 8 {
+			t.Errorf("%s has done %d of 8 tasks", uid, j.done)
+		}
+	}
+	b.faulty = ""
+	for range 70 {
+		b.step()
+	}
+	late := b.add("run-009999", 48)
+	for range 20 {
+		b.step()
+	}
+	if m := b.c.fleet.Get("m-000002"); !m.Takes(b.now) || b.c.evidence.SurelyFaulty(m.ID) || b.c.jobs[late.uid] != nil && late.done < 48 {
+		t.Errorf("a machine that has recovered takes work: %v, %d tasks are done", m.Takes(b.now), late.done)
+	}
+}
+
+// The next leader, which has the records only, does not start a mistaken array whole again.
+func TestNextLeaderDoubtsWhatNeverWorked(t *testing.T) {
+	b, services, j := newBroken(t, 10, 25)
+	for range 30 {
+		b.step()
+	}
+	for _, tc := range []struct {
+		name    string
+		done    bool
+		suspect bool
+	}{{"nothing was ever done", false, true}, {"a task was done", true, false}} {
+		if tc.done {
+			key := ledger.PieceKey(j.uid, 0)
+			piece, err := ledger.DecodePiece(services.items[key].Value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			piece.SetDone(0)
+			services.items[key] = wire.Item{Key: key, Value: ledger.Encode(piece), Stamp: services.epoch}
+		}
+		next := services.leaderOf(6, &b.now)
+		if got := next.jobs[j.uid]; got == nil || got.suspect != tc.suspect {
+			t.Errorf("%s: %+v", tc.name, got)
+		}
+	}
+}
--- a/internal/controller/huge_test.go
+++ b/internal/controller/huge_test.go
@@ -11,9 +11,9 @@
 	"lotusstile.dev/lotusstile/wire"
 )
 
-// hugeArray is a leader beside services with usual limits, a machine for every 4,000
-// tasks, and an array of small tasks.
-func hugeArray(t *testing.T, now *time.Time, tasks int, need fleet.Res) (*limited, *Controller, *job) {
+// leaderWithArray is a leader beside services with usual limits, with machines that have reported
+// and an array.
+func leaderWithArray(t *testing.T, now *time.Time, machines, tasks int, need fleet.Res) (*limited, *Controller, *job) {
 	services := &limited{t: t, limits: config.StateLimits{Rps: 250, WriteRps: 100, ValueKb: 8, TxnOps: 24}, items: map[string]wire.Item{}}
 	c := services.leaderOf(5, now)
 	spec := wire.Work{UID: "run-000001", Berth: "huge", Crew: "crew", Shape: wire.Sweep, Rank: wire.Standard, Legs: tasks, Cores: need.Cores, RAMGb: need.RAM, Rollout: "img"}
@@ -21,21 +21,30 @@
 	services.items[ledger.JobKey(spec.UID)] = wire.Item{Key: ledger.JobKey(spec.UID), Value: ledger.Encode(rec), Stamp: 1}
 	c.takeJob(spec.UID, ledger.Entry{Job: &rec, Stamp: 1})
 	var hosts []wire.ListedHost
-	for i := range tasks/4000 + 1 {
+	for i := range machines {
 		hosts = append(hosts, wire.ListedHost{UID: fmt.Sprintf("m-%06d", i), MachineType: "g8", Zone: "a", Status: "running"})
 	}
 	c.listed(hosts, *now)
+	reportAll(t, c, 1, nil)
 	return services, c, c.jobs[spec.UID]
 }
 
-// reportAll lets every machine report the attempts that it has been sent, with a status, and
-// obey what it is told.
-func reportAll(t *testing.T, c *Controller, tick uint64, status wire.TaskStatus, cause wire.Cause) {
+// outcome says how a machine reports an attempt.
+type outcome func(a *fleet.Attempt) (wire.TaskStatus, wire.Cause)
+
+// always reports every attempt in the same way.
+func always(status wire.TaskStatus, cause wire.Cause) outcome {
+	return func(*fleet.Attempt) (wire.TaskStatus, wire.Cause) { return status, cause }
+}
+
+// reportAll lets every machine report the attempts that it has been sent.
+func reportAll(t *testing.T, c *Controller, tick uint64, how outcome) {
 	c.Mirror.Apply(wire.Changes{}, 0, c.now()) // the jobs are read all the time
 	c.fleet.Each(func(m *fleet.Machine) {
 		r := wire.Report{Host: m.ID, MachineType: "g8", Zone: m.Zone, Session: 1, Sequence: tick, Token: c.term}
 		m.Each(func(a *fleet.Attempt) {
 			if a.State > fleet.Committed && a.State != fleet.Recorded {
+				status, cause := how(a)
 				r.Tasks = append(r.Tasks, wire.TaskReport{Task: a.Name(), Try: a.Try, Status: status, Cause: cause})
 			}
 		})
@@ -59,15 +68,14 @@
 func TestHugeArrayIsFinished(t *testing.T) {
 	const tasks = 25_000
 	now := time.Unix(10_000, 0)
-	services, c, j := hugeArray(t, &now, tasks, fleet.Res{Cores: 0.25, RAM: 1})
+	services, c, j := leaderWithArray(t, &now, 7, tasks, fleet.Res{Cores: 0.25, RAM: 1})
 	tick := uint64(1)
-	reportAll(t, c, tick, "", "")
 	for rounds := 0; j.done < tasks && rounds < 1000; rounds++ {
 		now = now.Add(3 * time.Second)
 		c.round(time.Second)
 		writeAll(t, c)
-		reportAll(t, c, tick+1, wire.TaskRunning, "")
-		reportAll(t, c, tick+2, wire.TaskEnded, wire.CauseDone)
+		reportAll(t, c, tick+1, always(wire.TaskRunning, ""))
+		reportAll(t, c, tick+2, always(wire.TaskEnded, wire.CauseDone))
 		tick += 2
 	}
 	if j.done != tasks {
@@ -95,17 +103,16 @@
 // started nothing at all.
 func TestReportsOfTinyTasksFitABody(t *testing.T) {
 	now := time.Unix(10_000, 0)
-	_, c, j := hugeArray(t, &now, 3000, fleet.Res{Cores: 0.02, RAM: 0.1})
-	reportAll(t, c, 1, "", "")
+	_, c, j := leaderWithArray(t, &now, 1, 3000, fleet.Res{Cores: 0.02, RAM: 0.1})
 	c.round(time.Second)
 	writeAll(t, c)
 	if j.live != maxTasks {
 		t.Fatalf("%d tasks are started, want %d", j.live, maxTasks)
 	}
-	reportAll(t, c, 2, wire.TaskEnded, wire.CauseDone)
+	reportAll(t, c, 2, always(wire.TaskEnded, wire.CauseDone))
 	c.round(time.Second) // nothing is reaped yet: the ends are written later
 	writeAll(t, c)
-	reportAll(t, c, 3, wire.TaskEnded, wire.CauseDone)
+	reportAll(t, c, 3, always(wire.TaskEnded, wire.CauseDone))
 	if j.live != 0 {
 		t.Errorf("%d tasks are started beside %d that are not reaped", j.live, maxTasks)
 	}
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -45,12 +45,13 @@
 	begun          bool  // a task of it has run in this term
 	waitFrom       time.Time
 	avoid          map[string]time.Time // machines it failed on
-	fails          int
-	lost           int       // tasks that ended against the job's will
-	countsRevision uint64    // of the last change of its counts of tasks
-	heldUntil      time.Time // not placed before
-	unsure         bool      // the outcome of its archiving is unknown
-	asideUntil     time.Time // nothing of it is written before: the state service rejected it
+	fails          int                  // how often in a row it was held back
+	suspect        bool                 // it may be mistaken: failures.go
+	lost           int                  // tasks that ended against the job's will
+	countsRevision uint64               // of the last change of its counts of tasks
+	heldUntil      time.Time            // not placed before
+	unsure         bool                 // the outcome of its archiving is unknown
+	asideUntil     time.Time            // nothing of it is written before: the state service rejected it
 }
 
 func newJob(uid string, e ledger.Entry, now time.Time) *job {
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -51,6 +51,7 @@
 	c.hintJobs(recs.hints, now)
 	for _, j := range c.jobs {
 		c.countsChanged(j)
+		j.suspectByRecords()
 		if j.rec.Status == wire.JobAborted {
 			j.each(func(a *fleet.Attempt) { c.stop(a, 0, now, "withdrawn") })
 		}
--- a/internal/controller/picture.go
+++ b/internal/controller/picture.go
@@ -89,8 +89,8 @@
 // now.
 func (c *Controller) waitingJob(j *job, now time.Time) *sched.Job {
 	spec := &j.rec.Spec
-	waiting := j.waiting()
-	if waiting == 0 || now.Before(j.heldUntil) {
+	waiting := c.mayPlace(j, now)
+	if waiting == 0 {
 		return nil
 	}
 	if spec.Shape == wire.Group && j.live > 0 {
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -83,8 +83,17 @@
 	if !c.lastAt.IsZero() {
 		st.Round.AgoS = c.now().Sub(c.lastAt).Seconds()
 	}
-	c.fleet.Each(func(m *fleet.Machine) { st.Machines[m.State.String()]++ })
+	now := c.now()
+	c.fleet.Each(func(m *fleet.Machine) {
+		st.Machines[m.State.String()]++
+		if m.Blamed && now.Before(m.AvoidUntil) {
+			st.Blamed++
+		}
+	})
 	for _, j := range c.jobs {
+		if j.suspect {
+			st.Suspects++
+		}
 		cl := st.Classes[j.rec.Spec.Berth]
 		cl.Jobs++
 		cl.Waiting += j.waiting()
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -199,6 +199,7 @@
 			continue
 		}
 		j.begun, j.fails, j.heldUntil = j.begun || v.Begun, max(j.fails, v.Fails), fromMilliseconds(v.HoldMs)
+		j.suspect = j.suspect || j.fails > 0
 		if from := fromMilliseconds(v.WaitMs); !from.IsZero() && from.Before(j.waitFrom) {
 			j.waitFrom = from
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -146,7 +146,7 @@
 	IdleAt         time.Time
 	AvoidUntil     time.Time            // takes no launches until then
 	MissedLaunches int                  // launches in a row that it did not take
-	Errors         map[string]time.Time // jobs that failed here since the last success
+	Blamed         bool                 // it is passed over for tasks that failed on it
 	Images         map[string]time.Time // images seen on it, by last use
 
 	answered time.Time // last report here, whatever time was given again since
@@ -279,7 +279,7 @@
 	m := f.machines[id]
 	if m == nil {
 		m = &Machine{ID: id, State: Booting, Heard: now, Reported: now, Since: now, Born: now, IdleAt: now,
-			attempts: map[attemptKey]*Attempt{}, Images: map[string]time.Time{}, Errors: map[string]time.Time{}}
+			attempts: map[attemptKey]*Attempt{}, Images: map[string]time.Time{}}
 		f.machines[id] = m
 		f.Touch(m)
 		f.watcher.MachineChanged(m, Booting, "known")
--- a/internal/standby/views.go
+++ b/internal/standby/views.go
@@ -37,7 +37,7 @@
 type JobView struct {
 	UID     string `cbor:"1,keyasint"`
 	Begun   bool   `cbor:"2,keyasint,omitempty"` // a task of it has run
-	Fails   int    `cbor:"3,keyasint,omitempty"` // errors of its tasks in a row
+	Fails   int    `cbor:"3,keyasint,omitempty"` // how often in a row it was held back for failing
 	HoldMs  int64  `cbor:"4,keyasint,omitempty"` // it is not placed before
 	WaitMs  int64  `cbor:"5,keyasint,omitempty"` // since when nothing of it ran
 	Running []byte `cbor:"6,keyasint,omitempty"` // bitmap of its running tasks, see RunningTasks
--- a/wire/admin.go
+++ b/wire/admin.go
@@ -49,6 +49,8 @@
 	Classes  map[string]ClassStatus // by class of jobs
 	CheckIns string                 `json:",omitempty"` // "direct", or "relayed" by followers; only where relays are switched on
 	Workers  map[string]int         `json:",omitempty"` // by the controller that they report to
+	Suspects int                    // jobs that fail on machine after machine: tried with one task at a time
+	Blamed   int                    // machines that are passed over for tasks that failed on them
 }
 
 // RoundStatus describes the last round.
