--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"lotusstile.dev/lotusstile/internal/blame"
-	"lotusstile.dev/lotusstile/internal/boottime"
 	"lotusstile.dev/lotusstile/internal/clusterversion"
 	"lotusstile.dev/lotusstile/internal/config"
 	"lotusstile.dev/lotusstile/internal/fleet"
@@ -110,7 +109,6 @@
 	finals         []finalStatus // final statuses to tell, by revision: finals.go
 	fleet          *fleet.Fleet
 	evidence       *blame.Evidence // who fails where: failures.go
-	boots          *boottime.Model // how long machines take to come up: nodes.go
 
 	// Rounds: round.go, picture.go, nodes.go, spare.go.
 	window        int
@@ -156,7 +154,6 @@
 		jobs: map[string]*job{}, graph: pipeline.New(), pending: map[string]*rental{}, refused: map[provision.Group]refusal{},
 		arrive: map[string]*arrivals{}, cutOff: map[string]time.Time{}, noted: map[string]imageNote{}, announced: map[string]time.Time{}, waitingAnswers: map[string]chan struct{}{}, carrierLost: map[string]time.Time{}}
 	c.fleet = fleet.New(term, d.Config.Lease(), c)
-	c.boots = boottime.New()
 	c.evidence = blame.New(evidenceLeases * d.Config.Lease())
 	c.returns = map[string]*pendingReturn{}
 	c.nodes = newKeptNodes()
@@ -280,9 +277,6 @@
 	slog.Info("machine", "host", m.ID, "from", from.String(), "to", m.State.String(), "shift", m.Session, "why", why)
 	c.views.machine(m.ID)
 	c.noteReady(m)
-	if from == fleet.Booting && (m.State == fleet.Confirming || m.State == fleet.Ready) {
-		c.observeBoot(m, c.now())
-	}
 	if m.State == fleet.Gone {
 		c.evidence.ForgetMachine(m.ID)
 	}
--- a/internal/controller/lost.go
+++ b/internal/controller/lost.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"lotusstile.dev/lotusstile/internal/boottime"
 	"lotusstile.dev/lotusstile/internal/fleet"
 	"lotusstile.dev/lotusstile/internal/ledger"
 	"lotusstile.dev/lotusstile/wire"
@@ -308,12 +307,11 @@
 	if m.State != fleet.Booting || m.LiveCount() > 0 {
 		return false
 	}
-	const usualS = 60
+	const usualS, boots = 60, 3.5
 	boot := float64(usualS)
 	if r := d.c.machineType(m.Type); r != nil {
 		boot = r.BootS
 	}
-	boots := d.c.boots.SurelyWithin(boottime.Group{Type: m.Type, Zone: m.Zone})
 	settled := d.now.Sub(d.c.steady) > 2*d.c.Config.Lease()
 	return settled && d.now.Sub(m.Born).Seconds() > boots*boot
 }
--- a/internal/controller/nodes.go
+++ b/internal/controller/nodes.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"lotusstile.dev/lotusstile/internal/boottime"
 	"lotusstile.dev/lotusstile/internal/fleet"
 	"lotusstile.dev/lotusstile/internal/sched"
 	"lotusstile.dev/lotusstile/wire"
@@ -183,14 +182,6 @@
 	if m.State != fleet.Booting || r == nil {
 		return time.Time{}
 	}
-	const reports = 2
-	boots := c.boots.LikelyWithin(boottime.Group{Type: m.Type, Zone: m.Zone})
-	return m.Born.Add(time.Duration((boots*r.BootS + reports*c.Config.Cluster.Workers.ReportS) * float64(time.Second)))
-}
-
-// observeBoot learns from a machine that was rented in this term and reports for the first time.
-func (c *Controller) observeBoot(m *fleet.Machine, now time.Time) {
-	if r := c.machineType(m.Type); m.Rented && r != nil {
-		c.boots.Observe(boottime.Group{Type: m.Type, Zone: m.Zone}, now.Sub(m.Born).Seconds(), r.BootS)
-	}
+	const usualBoots, reports = 1.7, 2
+	return m.Born.Add(time.Duration((usualBoots*r.BootS + reports*c.Config.Cluster.Workers.ReportS) * float64(time.Second)))
 }
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -49,7 +49,7 @@
 			}
 			for _, h := range hosts {
 				m := c.fleet.Know(h, now)
-				m.Type, m.Zone, m.Spot, m.Rented = r.req.MachineType, r.req.Zone, r.req.Spot, true
+				m.Type, m.Zone, m.Spot = r.req.MachineType, r.req.Zone, r.req.Spot
 				c.fleet.Touch(m)
 				c.capacity(m)
 			}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -140,7 +140,6 @@
 	Via            string    // follower that keeps it and relays its reports; "": none
 	Since          time.Time // of the last change of state
 	Born           time.Time // when it was first known
-	Rented         bool      // in this term: Born is when the cloud answered
 	Listed         bool
 	Failed         bool // the cloud lists it as failed
 	Warned         bool // spot notice
