--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -47,7 +47,7 @@
 type Worker interface {
 	// Announce tells a worker the term's token. It returns the worker's
 	// session and the highest token the worker has seen.
-	Announce(ctx context.Context, address string, baton, shift uint64) (wire.Report, error)
+	Announce(ctx context.Context, address string, token, shift uint64) (wire.Report, error)
 }
 
 // VersionTracker tells which formats of records are in use.
@@ -260,12 +260,12 @@
 	}
 }
 
-func (c *Controller) machineType(sku string) *wire.MachineType {
+func (c *Controller) machineType(name string) *wire.MachineType {
 	if c.cat == nil {
 		return nil
 	}
 	for i := range c.cat.MachineTypes {
-		if c.cat.MachineTypes[i].Name == sku {
+		if c.cat.MachineTypes[i].Name == name {
 			return &c.cat.MachineTypes[i]
 		}
 	}
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -110,8 +110,8 @@
 }
 
 // piece finds or makes the piece that a task belongs to.
-func (j *job) piece(leg int) *piece {
-	n := leg / j.rec.Per
+func (j *job) piece(task int) *piece {
+	n := task / j.rec.Per
 	p := j.pieces[n]
 	if p == nil {
 		p = &piece{job: j, n: n, next: 1, live: map[int]*fleet.Attempt{}}
@@ -120,14 +120,14 @@
 	return p
 }
 
-func (j *job) isDone(leg int) bool {
-	p := j.pieces[leg/j.rec.Per]
-	return p != nil && p.done.DoneBit(leg%j.rec.Per)
+func (j *job) isDone(task int) bool {
+	p := j.pieces[task/j.rec.Per]
+	return p != nil && p.done.DoneBit(task%j.rec.Per)
 }
 
-func (j *job) attempt(leg int) *fleet.Attempt {
-	if p := j.pieces[leg/j.rec.Per]; p != nil {
-		return p.live[leg]
+func (j *job) attempt(task int) *fleet.Attempt {
+	if p := j.pieces[task/j.rec.Per]; p != nil {
+		return p.live[task]
 	}
 	return nil
 }
@@ -142,23 +142,23 @@
 // pick takes up to n tasks that wait. A task may be known twice as waiting, by
 // having been freed and by not having been reached yet: it is taken once.
 func (j *job) pick(n int) []int {
-	legs := make([]int, 0, min(n, j.waiting()))
+	tasks := make([]int, 0, min(n, j.waiting()))
 	taken := map[int]bool{}
-	take := func(leg int) {
-		if !taken[leg] && !j.isDone(leg) && j.attempt(leg) == nil {
-			taken[leg] = true
-			legs = append(legs, leg)
+	take := func(task int) {
+		if !taken[task] && !j.isDone(task) && j.attempt(task) == nil {
+			taken[task] = true
+			tasks = append(tasks, task)
 		}
 	}
-	for len(legs) < n && len(j.freed) > 0 {
-		leg := j.freed[len(j.freed)-1]
+	for len(tasks) < n && len(j.freed) > 0 {
+		task := j.freed[len(j.freed)-1]
 		j.freed = j.freed[:len(j.freed)-1]
-		take(leg)
+		take(task)
 	}
-	for ; len(legs) < n && j.cursor < j.rec.Spec.Legs; j.cursor++ {
+	for ; len(tasks) < n && j.cursor < j.rec.Spec.Legs; j.cursor++ {
 		take(j.cursor)
 	}
-	return legs
+	return tasks
 }
 
 // gangTry is the try that all tasks of a gang share in one start: that of those
@@ -215,12 +215,12 @@
 
 // hasRoom reports whether the record of the piece still fits a value with one more
 // attempt of a task on a machine.
-func (p *piece) hasRoom(leg int, m *fleet.Machine, valueBytes int) bool {
+func (p *piece) hasRoom(task int, m *fleet.Machine, valueBytes int) bool {
 	tasks := p.job.rec.Per
 	if ledger.FitsPlain(tasks, valueBytes) {
 		return true
 	}
-	bytes := ledger.DenseBytes(ledger.Placed{Task: leg, Try: p.next, Host: m.ID, Session: m.Session}, tasks)
+	bytes := ledger.DenseBytes(ledger.Placed{Task: task, Try: p.next, Host: m.ID, Session: m.Session}, tasks)
 	for _, a := range p.live {
 		bytes += ledger.DenseBytes(ledger.Placed{Task: a.Task, Try: a.Try, Host: a.Machine.ID, Session: a.Session}, tasks)
 	}
--- a/internal/controller/picture.go
+++ b/internal/controller/picture.go
@@ -185,8 +185,8 @@
 		if !provision.Cap(r).Holds(fleet.Need(w)) {
 			continue
 		}
-		for _, yard := range r.Zones {
-			if sched.Allowed(w, r.Name, yard, true) && !now.Before(c.refused[provision.Group{Type: r.Name, Zone: yard, Spot: true}].until) {
+		for _, zone := range r.Zones {
+			if sched.Allowed(w, r.Name, zone, true) && !now.Before(c.refused[provision.Group{Type: r.Name, Zone: zone, Spot: true}].until) {
 				return false
 			}
 		}
@@ -195,12 +195,12 @@
 }
 
 // price is what a machine costs per hour.
-func (c *Controller) price(sku string, standby bool) float64 {
-	r := c.machineType(sku)
+func (c *Controller) price(machineType string, spot bool) float64 {
+	r := c.machineType(machineType)
 	switch {
 	case r == nil:
 		return 0
-	case standby:
+	case spot:
 		return r.LowPrice
 	}
 	return r.Hourly
--- a/internal/controller/round.go
+++ b/internal/controller/round.go
@@ -132,21 +132,21 @@
 		if m == nil || budget <= 0 && !j.writes(now) {
 			continue
 		}
-		for _, leg := range j.pick(reportableTasks(m, pl)) {
-			p := j.piece(leg)
-			if !p.hasRoom(leg, m, c.pieceBytes()) {
-				j.freed = append(j.freed, leg)
+		for _, task := range j.pick(reportableTasks(m, pl)) {
+			p := j.piece(task)
+			if !p.hasRoom(task, m, c.pieceBytes()) {
+				j.freed = append(j.freed, task)
 				continue // until others of its piece have ended
 			}
 			if !p.dirty || p.due.After(now) {
 				budget--
 			}
-			a := &fleet.Attempt{UID: j.uid, Task: leg, Try: p.next, Need: j.need, Image: j.rec.Spec.Rollout}
+			a := &fleet.Attempt{UID: j.uid, Task: task, Try: p.next, Need: j.need, Image: j.rec.Spec.Rollout}
 			if j.rec.Spec.Shape == wire.Group {
 				a.Try = j.gangTry()
 			}
 			p.next = max(p.next, a.Try+1)
-			p.live[leg] = a
+			p.live[task] = a
 			j.live++
 			p.touch(now)
 			c.fleet.Place(m, a, now)
--- a/internal/controller/spare.go
+++ b/internal/controller/spare.go
@@ -35,14 +35,14 @@
 
 // arrived notes a new job.
 func (c *Controller) arrived(j *job, now time.Time) {
-	s, legs := &j.rec.Spec, float64(j.rec.Spec.Legs)
+	s, tasks := &j.rec.Spec, float64(j.rec.Spec.Legs)
 	a := c.arrive[s.Berth]
 	if a == nil {
-		a = &arrivals{at: now, tasksSquared: legs * legs}
+		a = &arrivals{at: now, tasksSquared: tasks * tasks}
 		c.arrive[s.Berth] = a
 	}
 	a.spec, a.level = s, s.Rank.Level()
-	a.tasksSquared += (legs*legs - a.tasksSquared) / 8
+	a.tasksSquared += (tasks*tasks - a.tasksSquared) / 8
 	a.fade(now, c.fadeS())
 	a.count++
 }
--- a/internal/provision/provision.go
+++ b/internal/provision/provision.go
@@ -171,13 +171,13 @@
 	return 0
 }
 
-func zoneOK(j *sched.Job, yards map[string]int, yard string) bool {
-	if j.Spec.Scatter && yards[yard] >= (j.Spec.Legs+1)/2 {
+func zoneOK(j *sched.Job, zones map[string]int, zone string) bool {
+	if j.Spec.Scatter && zones[zone] >= (j.Spec.Legs+1)/2 {
 		return false
 	}
 	if j.Spec.Together {
-		for y, n := range yards {
-			if n > 0 && y != yard {
+		for y, n := range zones {
+			if n > 0 && y != zone {
 				return false
 			}
 		}
@@ -187,7 +187,7 @@
 
 // cheapest picks the group with the lowest price for each task that it would
 // hold; among equals, the zone with the fewest machines.
-func cheapest(cat *wire.Catalog, j *sched.Job, yards map[string]int, left int, pop map[string]int, refused func(Group) bool) (Group, fleet.Res, bool) {
+func cheapest(cat *wire.Catalog, j *sched.Job, zones map[string]int, left int, pop map[string]int, refused func(Group) bool) (Group, fleet.Res, bool) {
 	best, bestCost, bestPop := Group{}, math.Inf(1), 0
 	var room fleet.Res
 	need := fleet.Need(j.Spec)
@@ -198,19 +198,19 @@
 			continue
 		}
 		for _, y := range r.Zones {
-			if !zoneOK(j, yards, y) {
+			if !zoneOK(j, zones, y) {
 				continue
 			}
-			for _, standby := range []bool{true, false} {
-				g := Group{r.Name, y, standby}
-				if !sched.Allowed(j.Spec, r.Name, y, standby) || refused(g) {
+			for _, spot := range []bool{true, false} {
+				g := Group{r.Name, y, spot}
+				if !sched.Allowed(j.Spec, r.Name, y, spot) || refused(g) {
 					continue
 				}
-				if j.Spec.Standby && !standby && !j.Tired && !j.Dear {
+				if j.Spec.Standby && !spot && !j.Tired && !j.Dear {
 					continue // spot machines are many times cheaper: worth a wait
 				}
 				price := r.Hourly
-				if standby {
+				if spot {
 					price = r.LowPrice
 				}
 				cost := price / float64(n)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -310,8 +310,8 @@
 }
 
 // Allowed reports whether a job may use a machine of this kind at all.
-func Allowed(w *wire.Work, rig, yard string, standby bool) bool {
-	return (len(w.Rigs) == 0 || slices.Contains(w.Rigs, rig)) && (w.Yard == "" || w.Yard == yard) && (!standby || w.Standby)
+func Allowed(w *wire.Work, machineType, zone string, spot bool) bool {
+	return (len(w.Rigs) == 0 || slices.Contains(w.Rigs, machineType)) && (w.Yard == "" || w.Yard == zone) && (!spot || w.Standby)
 }
 
 // fit finds room for up to want tasks of j in a layer and takes it. With start
