A refused transaction without changes cuts the rate of questions too

Found on reading the change once more: since questions about unknown ids end with a transaction that only compares, a 429 to one was taken for a commit refused for its changes, and cut nothing.

--- a/internal/store/budget.go
+++ b/internal/store/budget.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lotusstile.dev/lotusstile/internal/aimd"
+	"lotusstile.dev/lotusstile/wire"
 )
 
 // lane says how a request is fitted into the node's share of the limits.
@@ -77,11 +78,12 @@
 }
 
 // noteThrottled notes that the service refused a request since it gets too many. What users ask
-// gives way first, whatever was refused: a leader whose hold is not renewed helps nobody. A
-// commit may have been refused for its changes, of which questions make none.
-func (c *Client) noteThrottled(path string) {
+// gives way first, whatever was refused: a leader whose hold is not renewed helps nobody. Only a
+// commit that changes something may have been refused for its changes, of which questions make
+// none.
+func (c *Client) noteThrottled(body any) {
 	c.throttled.Add(1)
-	if path == commitPath {
+	if tx, ok := body.(wire.Commit); ok && len(tx.Apply) > 0 {
 		return
 	}
 	now := time.Now()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -200,7 +200,7 @@
 	case http.StatusServiceUnavailable:
 		return resp.StatusCode, nil, fmt.Errorf("%w: status %d", ErrRefused, resp.StatusCode)
 	case http.StatusTooManyRequests:
-		c.noteThrottled(path)
+		c.noteThrottled(body)
 		return resp.StatusCode, nil, ErrThrottled
 	}
 	c.noteAnswered(ctx)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -58,3 +58,44 @@
 		})
 	}
 }
+
+// throttling is a state service that gets too many requests.
+type throttling struct{}
+
+func (throttling) RoundTrip(*http.Request) (*http.Response, error) {
+	rec := httptest.NewRecorder()
+	rec.WriteHeader(http.StatusTooManyRequests)
+	return rec.Result(), nil
+}
+
+// Whatever is refused for too many requests cuts what users may ask, also a question that is a
+// transaction without changes; a commit that changes something does not, since it may have been refused
+// for its changes. The transaction was once taken for such a commit.
+func TestQuestionsGiveWayToRefusedRequests(t *testing.T) {
+	guards := []wire.Guard{{Key: "j/run-000001"}}
+	for _, tc := range []struct {
+		name string
+		ask  func(c *Client) error
+		cut  bool
+	}{
+		{"a hold", func(c *Client) error { return c.TouchHold(Urgent(t.Context()), 1) }, true},
+		{"a question", func(c *Client) error { _, _, err := c.Get(Lookup(t.Context()), "f/run-000001"); return err }, true},
+		{"a question by a transaction", func(c *Client) error {
+			_, err := c.Commit(Lookup(t.Context()), wire.Commit{Guards: guards})
+			return err
+		}, true},
+		{"a commit", func(c *Client) error {
+			_, err := c.Commit(t.Context(), wire.Commit{Guards: guards, Apply: []wire.Change{{Drop: "j/run-000001"}}})
+			return err
+		}, false},
+	} {
+		c := New("state:1", Limits{Rps: 100, WriteRps: 100, Nodes: 1}, time.Second, throttling{})
+		before := c.Lookups().Allowed()
+		if err := tc.ask(c); !errors.Is(err, ErrThrottled) || !errors.Is(err, ErrRefused) {
+			t.Errorf("%s: %v", tc.name, err)
+		}
+		if cut := c.Lookups().Allowed() < before && c.SharedReads().Cuts() == 1; cut != tc.cut || c.Throttled() != 1 {
+			t.Errorf("%s: what users may ask is cut: %v, want %v", tc.name, cut, tc.cut)
+		}
+	}
+}
