--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -91,7 +91,7 @@
 	st := cfg.StateLimits()
 	n := &Node{
 		cfg:      cfg,
-		store:    store.New(cfg.Services.State, st.Rps, st.WriteRps, timeout, nw.State),
+		store:    store.New(cfg.Services.State, store.Limits{Rps: st.Rps, WriteRps: st.WriteRps, Nodes: len(cfg.Members) + 1}, timeout, nw.State),
 		cloud:    cloud.New(cfg.Services.Cloud, cfg.Cluster.Cloud.Rps, timeout, nw.Cloud),
 		mirror:   ledger.NewMirror(),
 		peers:    peer.Peers(cfg, cfg.HoldTTL()/4, nw.Mesh),
@@ -100,7 +100,7 @@
 		version:  clusterversion.NewTracker(),
 		workers:  &http.Client{Timeout: cfg.ReportEvery(), Transport: nw.Workers},
 	}
-	n.refresher = ledger.NewRefresher(n.mirror, n.store, timeout)
+	n.refresher = ledger.NewRefresher(n.mirror, n.store, n.store.SharedReads(), timeout)
 	n.finals = newFinals(cfg.Cluster.Limits.MemMb)
 	defaults := ledger.DefaultSettings(cfg.Cluster.Workers.ReportS)
 	n.settings.Store(&defaults)
--- a/internal/api/users.go
+++ b/internal/api/users.go
@@ -9,6 +9,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"lotusstile.dev/lotusstile/internal/aimd"
 	"lotusstile.dev/lotusstile/internal/connlimit"
 	"lotusstile.dev/lotusstile/internal/peer"
 	"lotusstile.dev/lotusstile/internal/store"
@@ -113,6 +114,20 @@
 	return errElsewhere
 }
 
+// notRead answers a question that could not be answered: at once with word when to come back if
+// it is the state service that gets too many requests, which a peer would only add to, else by
+// another node.
+func notRead(c echo.Context, err error) error {
+	var busy *aimd.BusyError
+	switch {
+	case errors.As(err, &busy):
+		return retryAfter(c, busy.After, "too many questions at once")
+	case errors.Is(err, store.ErrThrottled):
+		return retryLater(c, "too many requests at once")
+	}
+	return errElsewhere
+}
+
 // userContext bounds the work for a user who waits for at most limit.
 func userContext(c echo.Context, limit time.Duration) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(store.User(c.Request().Context(), 0), limit)
@@ -128,12 +143,12 @@
 	if !wire.ValidUID(uid) {
 		return echo.NewHTTPError(http.StatusNotFound, "no such job")
 	}
-	ctx, cancel := userContext(c, pollWait)
+	ctx, cancel := context.WithTimeout(store.Lookup(c.Request().Context()), pollWait)
 	defer cancel()
 	view, known, err := n.readStatus(ctx, uid)
 	switch {
 	case err != nil:
-		return errElsewhere
+		return notRead(c, err)
 	case !known:
 		return echo.NewHTTPError(http.StatusNotFound, "no such job")
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -95,7 +95,8 @@
 	cancel    context.CancelFunc
 	begun     time.Time
 	loaded    bool
-	warmTries int // checks of what was followed that the state service did not answer
+	warmTries int                    // checks of what was followed that the state service did not answer
+	listings  map[string][]wire.Item // records that load has listed so far, by prefix
 	takeover  *takeover
 
 	// Jobs and their attempts: events.go, dependencies.go, status.go.
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -59,6 +59,7 @@
 		c.Source.Seed(c, recs.pieces, recs.returns, recs.images)
 	}
 	c.loaded = true
+	c.listings = nil
 	c.steady = now
 	c.takeover.loaded(now, c.fleet.Len(), inherited)
 	slog.Info("picture loaded", "term", c.term, "jobs", len(c.jobs), "attempts", inherited, "returning", len(c.returns), "warm", recs.hints != nil)
@@ -66,7 +67,9 @@
 }
 
 // readRecords takes the records from what this node has followed, if that can be proven,
-// or lists them.
+// or lists them. A listing of this term stays valid while others are tried again: only this
+// term changes what it lists, but for jobs, whose changes the mirror tells. When a service that
+// got too many requests refused one of four listings in turn, all four were read anew for 12 s.
 func (c *Controller) readRecords(ctx context.Context) (*records, error) {
 	if c.Prove != nil && c.warmTries < warmTries {
 		recs, err := c.provenRecords(ctx)
@@ -81,15 +84,22 @@
 		c.warmTries = warmTries
 		slog.Info("all records are listed", "term", c.term, "why", err)
 	}
-	var lists [4][]wire.Item
-	for i, under := range []string{ledger.JobPrefix, ledger.PiecePrefix, ledger.ReturnsPrefix, ledger.ImagesPrefix} {
+	if c.listings == nil {
+		c.listings = map[string][]wire.Item{}
+	}
+	for _, under := range []string{ledger.JobPrefix, ledger.PiecePrefix, ledger.ReturnsPrefix, ledger.ImagesPrefix} {
+		if _, known := c.listings[under]; known {
+			continue
+		}
 		rows, _, err := c.Store.List(ctx, under)
 		if err != nil {
 			return nil, err
 		}
-		lists[i] = rows
+		c.listings[under] = rows
 	}
-	return &records{jobs: lists[0], pieces: lists[1], returns: lists[2], images: lists[3]}, nil
+	recs := &records{jobs: c.listings[ledger.JobPrefix], pieces: c.listings[ledger.PiecePrefix],
+		returns: c.listings[ledger.ReturnsPrefix], images: c.listings[ledger.ImagesPrefix]}
+	return recs, nil
 }
 
 // finalProof reports whether trying the proof again is of no use.
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -46,6 +46,14 @@
 // better prepared to lead: longer than the chance in the wait of either.
 const deferShare = 16
 
+const (
+	// renewals is how often a hold is renewed in its time.
+	renewals = 4
+	// throttledRenewals is how many tries there are in that time while the state service
+	// answers that it gets too many requests.
+	throttledRenewals = 20
+)
+
 // View is what is known of the leadership.
 type View struct {
 	Leader string // empty: nobody leads
@@ -307,24 +315,30 @@
 		e.lead(tctx, term)
 	}()
 	renewed := time.Now()
+	next := e.grid.Next(renewed, e.ttl/renewals)
 	for tctx.Err() == nil {
 		select {
 		case <-tctx.Done():
 			continue
-		case <-time.After(e.grid.Next(time.Now(), e.ttl/4)):
+		case <-time.After(next):
 		}
 		begun := time.Now()
 		rctx, cancel := context.WithTimeout(store.Urgent(tctx), e.ttl/2)
 		err := e.store.TouchHold(rctx, permit)
 		cancel()
+		next = e.grid.Next(time.Now(), e.ttl/renewals)
 		switch {
+		case errors.Is(err, store.ErrThrottled):
+			// Nothing is wrong with the service: another try may find room.
+			next = e.ttl / throttledRenewals
 		case err == nil:
 			renewed = begun
 			e.move(Leading, "hold renewed")
 		case errors.Is(err, store.ErrNoHold):
 			slog.Info("hold has ended", "term", term)
 			stop()
-		case time.Since(renewed) > e.ttl:
+		}
+		if time.Since(renewed) > e.ttl {
 			e.move(Unproven, "hold not renewed")
 		}
 		if err == nil && e.better() {
--- a/internal/ledger/refresher.go
+++ b/internal/ledger/refresher.go
@@ -4,15 +4,24 @@
 	"context"
 	"sync"
 	"time"
+
+	"lotusstile.dev/lotusstile/internal/store"
 )
 
+// Pace lets whoever asks a service wait for its turn.
+type Pace interface {
+	Wait(ctx context.Context) error
+}
+
 // Refresher brings a mirror up to date for many callers at once. Every caller gets
-// a read that began after it called; callers that come while one read is under way
-// share the next. This is the one place that decides which read answers which
-// question.
+// a read that began after it called; callers that come while one read is under way, or
+// waits for its turn, share the next. This is the one place that decides which read
+// answers which question. So however many ask, the state service gets no more reads
+// than the pace allows.
 type Refresher struct {
 	mirror   *Mirror
 	reader   Reader
+	pace     Pace
 	timeout  time.Duration // of one read
 	patience time.Duration // after it, a read that is not answered holds up no other
 
@@ -28,10 +37,10 @@
 	err   error         // set before done is closed
 }
 
-// NewRefresher makes a Refresher.
-func NewRefresher(m *Mirror, r Reader, timeout time.Duration) *Refresher {
+// NewRefresher makes a Refresher whose reads keep to a pace.
+func NewRefresher(m *Mirror, r Reader, pace Pace, timeout time.Duration) *Refresher {
 	const patienceShare = 20
-	return &Refresher{mirror: m, reader: r, timeout: timeout, patience: timeout / patienceShare}
+	return &Refresher{mirror: m, reader: r, pace: pace, timeout: timeout, patience: timeout / patienceShare}
 }
 
 // Refresh returns nil once the mirror knows all that was committed before the call.
@@ -53,12 +62,8 @@
 		return r.waiting
 	}
 	read := &sharedRead{done: make(chan struct{})}
-	if r.running == nil {
-		r.begin(read)
-	} else {
-		r.waiting = read
-		go r.beginAfter(r.running, read)
-	}
+	r.waiting = read
+	go r.beginAfter(r.running, read)
 	return read
 }
 
@@ -69,7 +74,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), r.timeout)
 		defer cancel()
-		read.err = r.mirror.Refresh(ctx, r.reader)
+		read.err = r.mirror.Refresh(store.SharedRead(ctx), r.reader)
 		r.mu.Lock()
 		if r.running == read {
 			r.running = nil
@@ -79,17 +84,26 @@
 	}()
 }
 
-// beginAfter starts the next read when the one before has ended, or has taken too
-// long.
+// beginAfter starts the next read in its turn, when the one before, if there is any, has ended
+// or has taken too long.
 func (r *Refresher) beginAfter(before, next *sharedRead) {
-	patience := time.NewTimer(r.patience - time.Since(before.begun))
-	defer patience.Stop()
-	select {
-	case <-before.done:
-	case <-patience.C:
+	if before != nil {
+		patience := time.NewTimer(r.patience - time.Since(before.begun))
+		select {
+		case <-before.done:
+		case <-patience.C:
+		}
+		patience.Stop()
 	}
+	// Its turn comes: the pace has no other askers, and it has a least rate.
+	err := r.pace.Wait(context.Background())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.waiting = nil
+	if err != nil {
+		next.err = err
+		close(next.done)
+		return
+	}
 	r.begin(next)
 }
--- a/internal/standby/standby.go
+++ b/internal/standby/standby.go
@@ -47,7 +47,7 @@
 	Following: {Behind, Verifying, Empty},
 	Behind:    {Following, Verifying, Empty},
 	Verifying: {Ready, Empty},
-	Ready:     {Promoted, Empty},
+	Ready:     {Promoted, Verifying, Empty}, // checked again if the controller could not load the rest
 	Promoted:  {Empty},
 }
 
--- /dev/null
+++ b/internal/standin/questions_test.go
@@ -0,0 +1,120 @@
+package standin_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/standin"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// questions asks for a job at a node, so often a second, until stop is closed. It counts the
+// answers by status.
+type questions struct {
+	d    *day
+	stop chan struct{}
+
+	mu       sync.Mutex
+	answered map[int]int
+}
+
+func (q *questions) ask(node, uid string, every time.Duration) {
+	for {
+		select {
+		case <-q.stop:
+			return
+		case <-time.After(every):
+		}
+		go func() {
+			status, _ := q.d.w.Ask(node, "GET", "/work/"+uid, nil)
+			q.mu.Lock()
+			q.answered[status]++
+			q.mu.Unlock()
+		}()
+	}
+}
+
+// leadingTerm is the term of the leader, 0 if nobody leads.
+func (d *day) leadingTerm() uint64 {
+	item, _ := d.w.State.Get("e/leader")
+	return item.Stamp
+}
+
+// Users ask 600 questions a second of a state service that takes 120 requests, about jobs that
+// run, have ended and never were: the leader keeps its hold, work starts and is cancelled in time,
+// questions about known jobs are answered, and after the leader's end the next one reads the records and
+// places within ten seconds. Each node once read as often as its whole share allowed, for
+// questions alone: holds were not renewed, leaders changed, and a new one tried to read
+// its records for 12 s.
+func TestQuestionsLeaveTheLeaderItsPart(t *testing.T) {
+	t.Parallel()
+	inDay(t, func(d *day) {
+		d.w.State.SetLimits(standin.Limits{Rps: 120, WriteRps: 100})
+		array := wire.Work{UID: "run-000001", Berth: "batch", Crew: "free", Shape: wire.Sweep, Rank: wire.Standard, Legs: 20,
+			Cores: 1, RAMGb: 1, Rollout: "img", ImageGb: 1, ExpectS: 4}
+		d.w.User(array, 0, time.Now().Add(time.Minute))
+		service := wire.Work{UID: "run-000002", Berth: "serve", Crew: "crew", Shape: wire.Standing, Rank: wire.Critical, Legs: 2,
+			Cores: 4, Gpus: 1, RAMGb: 20, Rollout: "img", ImageGb: 4}
+		if !d.w.SubmitUntil(service, time.Now().Add(time.Minute)) {
+			t.Fatal("a service is not accepted")
+		}
+		time.Sleep(10 * time.Second)
+
+		known := &questions{d: d, stop: make(chan struct{}), answered: map[int]int{}}
+		unknown := &questions{d: d, stop: make(chan struct{}), answered: map[int]int{}}
+		for i, node := range labels {
+			go known.ask(node, service.UID, 10*time.Millisecond)
+			go known.ask(node, array.UID, 20*time.Millisecond)
+			go unknown.ask(node, fmt.Sprintf("run-9%05d", i), 20*time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		term := d.leadingTerm()
+		for i := range 10 { // a small job every three seconds, each is served
+			small := array
+			small.UID, small.Legs, small.Rank = fmt.Sprintf("run-0001%02d", i), 1, wire.High
+			began := time.Now()
+			d.w.User(small, 0, time.Now().Add(time.Minute))
+			if took := time.Since(began); took > 25*time.Second {
+				t.Errorf("a small job took %v", took)
+			}
+			time.Sleep(time.Second)
+		}
+		if now := d.leadingTerm(); now != term {
+			t.Errorf("the leader of term %d is gone, that of %d leads", term, now)
+		}
+		// The leader ends, and the next one places as soon as ever.
+		follower := ""
+		item, _ := d.w.State.Get("e/leader")
+		for i, label := range labels {
+			if strings.Contains(string(item.Value), label) {
+				d.crash(i)
+				time.AfterFunc(20*time.Second, func() { d.start(i) })
+			} else {
+				follower = label
+			}
+		}
+		time.Sleep(10 * time.Second)
+		var last struct{ DecidedMs int64 }
+		if item, ok := d.w.State.Get("t/last"); !ok || json.Unmarshal(item.Value, &last) != nil || d.leadingTerm() == term {
+			t.Errorf("nothing is known of a takeover: %s", item.Value)
+		}
+		d.expect(200, follower, "POST", "/work/run-000002/withdraw", "")
+		time.Sleep(20 * time.Second)
+		close(known.stop)
+		close(unknown.stop)
+		time.Sleep(3 * time.Second)
+		if ok, failed := known.answered[200], known.answered[503]; ok < 20*failed || known.answered[404] > 0 {
+			t.Errorf("questions about known jobs are answered %v", known.answered)
+		}
+		if unknown.answered[200] > 0 {
+			t.Errorf("questions about unknown jobs are answered %v", unknown.answered)
+		}
+		if b := d.w.Broken(); len(b) > 0 {
+			t.Errorf("rules broken:\n%s", strings.Join(b[:min(5, len(b))], "\n"))
+		}
+	})
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -101,6 +101,13 @@
 
 // ServeHTTP answers the protocol of the state service.
 func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	throttled := s.tooMany()
+	s.mu.Unlock()
+	if throttled {
+		reply(w, http.StatusTooManyRequests, wire.Fault{Error: "too many requests"})
+		return
+	}
 	if r.URL.Path == "/changes" {
 		s.changes(w, r)
 		return
--- a/internal/store/budget.go
+++ b/internal/store/budget.go
@@ -4,16 +4,20 @@
 	"context"
 	"fmt"
 	"time"
+
+	"lotusstile.dev/lotusstile/internal/aimd"
 )
 
 // lane says how a request is fitted into the node's share of the limits.
 type lane int
 
 const (
-	records lane = iota // waits its turn
-	urgent              // never waits: the leader's hold depends on it
-	user                // is refused at once if there is no room now
-	note                // only takes what records leave
+	records    lane = iota // waits its turn
+	urgent                 // never waits: the leader's hold depends on it
+	user                   // is refused at once if there is no room now
+	note                   // only takes what records leave
+	lookup                 // a single record that a user asks about: it has a budget of its own
+	sharedRead             // a read for many users at once, which whoever sends it has paced
 )
 
 type laneKey struct{}
@@ -36,6 +40,65 @@
 // refused while less than half of the budget's burst is left for records.
 func Note(ctx context.Context) context.Context { return context.WithValue(ctx, laneKey{}, note) }
 
+// Lookup marks reads of single records that answer a user's question. They are refused with an
+// *aimd.BusyError if their own budget has no room in time.
+func Lookup(ctx context.Context) context.Context { return context.WithValue(ctx, laneKey{}, lookup) }
+
+// SharedRead marks reads that answer many users at once. They wait for no budget: their sender
+// has waited for Client.SharedReads.
+func SharedRead(ctx context.Context) context.Context {
+	return context.WithValue(ctx, laneKey{}, sharedRead)
+}
+
+// SharedReads paces the reads that answer many users at once.
+func (c *Client) SharedReads() *aimd.Limiter { return c.shared }
+
+// Lookups is the budget of the reads of single records that answer users.
+func (c *Client) Lookups() *aimd.Limiter { return c.lookups }
+
+// admit waits for room for one request in the budget of the context's lane.
+func (c *Client) admit(ctx context.Context) error {
+	switch laneOf(ctx) {
+	case sharedRead:
+		return nil
+	case lookup:
+		if err := c.lookups.Wait(ctx); err != nil {
+			return fmt.Errorf("%w: %w", ErrRefused, err)
+		}
+		return nil
+	case urgent:
+		c.reqs.Allow() // counts against the budget but never waits for it
+		return nil
+	}
+	if err := c.reqs.Wait(ctx); err != nil {
+		return fmt.Errorf("%w: over this node's budget", ErrRefused)
+	}
+	return nil
+}
+
+// noteThrottled notes that the service refused a request since it gets too many. What users ask
+// gives way first, whatever was refused: a leader whose hold is not renewed helps nobody. A
+// commit may have been refused for its changes, of which questions make none.
+func (c *Client) noteThrottled(path string) {
+	c.throttled.Add(1)
+	if path == commitPath {
+		return
+	}
+	now := time.Now()
+	c.shared.Refused(now)
+	c.lookups.Refused(now)
+}
+
+// noteAnswered notes that the service has carried out a request.
+func (c *Client) noteAnswered(ctx context.Context) {
+	switch laneOf(ctx) {
+	case sharedRead:
+		c.shared.Answered(time.Now())
+	case lookup:
+		c.lookups.Answered(time.Now())
+	}
+}
+
 func laneOf(ctx context.Context) lane {
 	l, _ := ctx.Value(laneKey{}).(lane)
 	return l
