--- a/internal/api/counts.go
+++ b/internal/api/counts.go
@@ -51,6 +51,10 @@
 		return // what came between is not known here, or it is older than what is
 	}
 	for _, view := range r.Counts {
+		if view.Status.Final() {
+			delete(t.jobs, view.UID)
+			continue
+		}
 		t.jobs[view.UID] = view
 	}
 	t.revision, t.more = r.CountsRevision, r.CountsMore
--- a/internal/api/node.go
+++ b/internal/api/node.go
@@ -179,7 +179,7 @@
 		Settings: func() wire.Settings { return *n.settings.Load() }, Rounded: n.rounded,
 		Version: n.version,
 		Saw:     func(t uint64) { n.elector.Saw(t, "") }, Heard: n.heard, Reached: n.reached, RelayReached: n.relayReached,
-		Vacant: n.elector.VacantSince()}
+		Vacant: n.elector.VacantSince(), Final: n.finals.put}
 	n.beginStandby(&deps, term)
 	defer n.endStandby()
 	c := controller.New(deps, term)
@@ -253,6 +253,11 @@
 			slog.Debug("peer not reached", "peer", p.Label, "err", err)
 		} else if r.Leading {
 			n.counts.update(p.Label, args, r, n.mirror)
+			for _, view := range r.Counts {
+				if view.Status.Final() {
+					n.finals.put(view.UID, view.Status)
+				}
+			}
 			n.elector.Saw(r.Term, p.Label)
 		}
 		n.raiseVersion(ctx)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -75,6 +75,8 @@
 	Source *standby.Source
 	// Vacant is when this node saw that nobody leads.
 	Vacant time.Time
+	// Final is told of final statuses that are committed; nil if nobody asks.
+	Final func(uid string, status wire.JobStatus)
 	// Promoted is told once how the takeover went; nil if nobody asks.
 	Promoted func(ledger.Takeover)
 }
@@ -102,7 +104,8 @@
 	// Jobs and their attempts: events.go, dependencies.go, status.go.
 	jobs           map[string]*job
 	graph          *pipeline.Graph
-	countsRevision uint64 // counts changes of jobs' counts of tasks
+	countsRevision uint64        // counts changes of jobs' counts of tasks
+	finals         []finalStatus // final statuses to tell, by revision: finals.go
 	fleet          *fleet.Fleet
 
 	// Rounds: round.go, picture.go, nodes.go, spare.go.
--- a/internal/controller/dependencies.go
+++ b/internal/controller/dependencies.go
@@ -44,6 +44,7 @@
 
 // finished notes that a job's final status is committed.
 func (c *Controller) finished(uid string, status wire.JobStatus, now time.Time) {
+	c.noteFinal(uid, status)
 	state := pipeline.Done
 	if status == wire.JobAborted {
 		state = pipeline.Cancelled
--- /dev/null
+++ b/internal/controller/finals_test.go
@@ -0,0 +1,54 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/ledger"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// A follower that asks again and again learns the final status of every job that ends, without
+// gaps, and of none that has not; what is kept to be told is bounded.
+func TestFinalStatusesAreTold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := watched(&now)
+	own := map[string]wire.JobStatus{}
+	c.Final = func(uid string, status wire.JobStatus) { own[uid] = status }
+	const jobs, atOnce = 3 * finalsKept, finalsKept / 4
+	for i := range jobs {
+		uid := fmt.Sprintf("run-%06d", i)
+		c.takeJob(uid, ledger.Entry{Job: &ledger.Job{Spec: wire.Work{UID: uid, Legs: 1}, Status: wire.JobQueued, Per: 1}, Stamp: 1})
+	}
+	told, revision := map[string]wire.JobStatus{}, uint64(0)
+	ask := func() {
+		for more := true; more; {
+			var views []wire.JobView
+			views, revision, more = c.CountsSince(revision)
+			for _, v := range views {
+				if v.Status.Final() {
+					told[v.UID] = v.Status
+				}
+			}
+		}
+	}
+	want := map[string]wire.JobStatus{}
+	for i := range jobs / 2 {
+		uid, status := fmt.Sprintf("run-%06d", i), []wire.JobStatus{wire.JobDone, wire.JobAborted}[i%2]
+		c.finished(uid, status, now)
+		want[uid] = status
+		if i%atOnce == 0 {
+			ask()
+		}
+	}
+	ask()
+	for uid, status := range want {
+		if told[uid] != status || own[uid] != status {
+			t.Fatalf("%s is %s: a follower was told %q, this node %q", uid, status, told[uid], own[uid])
+		}
+	}
+	if len(told) != len(want) || len(c.finals) > finalsKept {
+		t.Errorf("%d statuses of %d jobs are told, %d are kept", len(told), len(want), len(c.finals))
+	}
+}
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -14,7 +14,8 @@
 
 // CountsSince tells which jobs' counts of tasks have changed since a revision, and
 // the revision that they lead to: 0 until all is loaded. Of many, those that changed first are
-// told, the revision leads to these, and there are more.
+// told, the revision leads to these, and there are more. Views with a final status are of jobs
+// that are over by a committed record.
 func (c *Controller) CountsSince(revision uint64) (views []wire.JobView, upTo uint64, more bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -37,6 +38,7 @@
 	for _, j := range changed {
 		views = append(views, wire.JobView{UID: j.uid, Done: j.done, Running: j.running()})
 	}
+	views = append(views, c.finalsBetween(revision, upTo)...)
 	return views, upTo, more
 }
 
