--- /dev/null
+++ b/internal/controller/guarantees.go
@@ -0,0 +1,27 @@
+package controller
+
+import "lotusstile.dev/lotusstile/internal/guarantee"
+
+// withinGuarantees finds the jobs that lie within the guarantees of their teams; nil if no team
+// has a guarantee.
+func (c *Controller) withinGuarantees() guarantee.Set {
+	guarantees := map[string]guarantee.Amount{}
+	for _, team := range c.Config.Cluster.Teams {
+		if team.Cpus > 0 || team.Gpus > 0 {
+			guarantees[team.Name] = guarantee.Amount{Cores: team.Cpus, Gpus: team.Gpus}
+		}
+	}
+	if len(guarantees) == 0 {
+		return nil
+	}
+	jobs := make([]guarantee.Job, 0, len(c.jobs))
+	for _, j := range c.jobs {
+		if j.rec.Status.Final() || !j.released {
+			continue
+		}
+		unfinished := float64(j.rec.Spec.Legs - j.done)
+		jobs = append(jobs, guarantee.Job{UID: j.uid, Team: j.rec.Spec.Crew, Level: j.level, AtMs: j.rec.AtMs,
+			Needs: guarantee.Amount{Cores: unfinished * j.need.Cores, Gpus: unfinished * j.need.Gpus}})
+	}
+	return guarantee.Within(guarantees, jobs)
+}
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -193,6 +193,17 @@
 	return n
 }
 
+// stopping is how many attempts are being stopped and may still be on their machines.
+func (j *job) stopping() int {
+	n := 0
+	j.each(func(a *fleet.Attempt) {
+		if a.Stopping || a.State == fleet.Saving {
+			n++
+		}
+	})
+	return n
+}
+
 // record makes the record of the piece as it stands.
 func (p *piece) record() ledger.Piece {
 	rec := ledger.Piece{Next: p.next, Done: p.done.Done}
--- a/internal/controller/nodes.go
+++ b/internal/controller/nodes.go
@@ -131,7 +131,7 @@
 // replica that has not run yet serves nobody: it can be displaced like batch,
 // and loses what it has fetched.
 func victim(j *job, a *fleet.Attempt) sched.Victim {
-	v := sched.Victim{ID: a.Serial, Level: j.level, Need: a.Need}
+	v := sched.Victim{ID: a.Serial, UID: j.uid, Team: j.rec.Spec.Crew, Level: j.level, Need: a.Need}
 	switch serves := j.rec.Spec.Shape == wire.Standing; {
 	case !a.RunAt.IsZero():
 		v.Serve, v.Since, v.Loss = serves, a.RunAt, math.Inf(1)
--- a/internal/controller/picture.go
+++ b/internal/controller/picture.go
@@ -45,15 +45,22 @@
 	for _, t := range c.Config.Cluster.Teams {
 		team := &sched.Team{}
 		team.Limit.Cores, team.Limit.Gpus = t.CpusMax, t.GpusMax
+		team.Guarantee.Cores, team.Guarantee.Gpus = t.Cpus, t.Gpus
 		in.Teams[t.Name] = team
 	}
+	in.Guaranteed = c.withinGuarantees()
 	in.VictimsBelow = 1 // nothing is displaced while nothing waits
 	for _, j := range c.jobs {
 		if t := in.Teams[j.rec.Spec.Crew]; t != nil {
 			t.Used.Cores += float64(j.live) * j.need.Cores
 			t.Used.Gpus += float64(j.live) * j.need.Gpus
+			if in.Guaranteed != nil {
+				stopping := float64(j.stopping())
+				t.Stopping.Cores += stopping * j.need.Cores
+				t.Stopping.Gpus += stopping * j.need.Gpus
+			}
 		}
-		if sj := c.waitingJob(j, now); sj != nil {
+		if sj := c.waitingJob(j, in.Guaranteed[j.uid], now); sj != nil {
 			in.VictimsBelow = max(in.VictimsBelow, sj.Level)
 			if c.overdueToBegin(j, now) {
 				// It begins; the rest of its tasks wait their turn.
@@ -86,8 +93,8 @@
 }
 
 // waitingJob is a job as a round sees it, or nil if nothing of it can be placed
-// now.
-func (c *Controller) waitingJob(j *job, now time.Time) *sched.Job {
+// now. guaranteed tells whether it lies within its team's guarantee.
+func (c *Controller) waitingJob(j *job, guaranteed bool, now time.Time) *sched.Job {
 	spec := &j.rec.Spec
 	waiting := c.mayPlace(j, now)
 	if waiting == 0 {
@@ -110,7 +117,7 @@
 	if !known {
 		return nil // a zone that a task may be in is not known yet
 	}
-	sj := &sched.Job{Spec: spec, Level: c.levelNow(j, now), AtMs: j.fromMs, Waiting: waiting, Live: j.live, ByZone: byYard,
+	sj := &sched.Job{Spec: spec, Guaranteed: guaranteed, Level: c.levelNow(j, now), AtMs: j.fromMs, Waiting: waiting, Live: j.live, ByZone: byYard,
 		WaitedS: now.Sub(j.waitFrom).Seconds(), SlackS: c.slackS(spec), LaxS: c.laxS(j, now), Avoid: c.avoids(j, now)}
 	// What a service has lost is down until it has its image again.
 	sj.Fetch = sj.SlackS < 0 || j.lost > 0 && spec.Shape == wire.Standing
--- a/internal/sched/bounds.go
+++ b/internal/sched/bounds.go
@@ -13,7 +13,7 @@
 // what is stopped: of a kind that fitted so many times, no more fit later.
 type bound struct {
 	layer          layer
-	level          int // of a job that displaces
+	displacer      displacer // of a job that displaces
 	need           fleet.Res
 	types, zone    string
 	spot           bool
@@ -46,7 +46,7 @@
 		b.image = r.job.Spec.Rollout
 	}
 	if l == displaced {
-		b.level = r.job.Level
+		b.displacer = r.displacerOf(r.job)
 	}
 	return b
 }
--- /dev/null
+++ b/internal/sched/guarantee_test.go
@@ -0,0 +1,113 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lotusstile.dev/lotusstile/internal/fleet"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// teamsInput is a round of three teams of which two have guarantees, with machines that are full
+// of their work, and one job that waits.
+func teamsInput(t *rapid.T) *Input {
+	in := &Input{Window: 200, ReserveS: 30, Priorities: DefaultPriorities, Teams: map[string]*Team{"owner": {}, "other": {}, "guest": {}}, Guaranteed: map[string]bool{}}
+	in.Teams["other"].Guarantee.Cores, in.Teams["other"].Guarantee.Gpus = float64(rapid.IntRange(1, 12).Draw(t, "cores")), float64(rapid.IntRange(0, 4).Draw(t, "gpus"))
+	id := 0
+	for i := range rapid.IntRange(1, 4).Draw(t, "machines") {
+		n := node(fmt.Sprint("m", i), 8, 4)
+		for n.Soon.Cores > 0 {
+			v := Victim{ID: id, UID: fmt.Sprintf("run-%06d", id), Team: rapid.SampledFrom([]string{"owner", "other", "guest"}).Draw(t, "team"),
+				Level: rapid.IntRange(1, 4).Draw(t, "level"), Need: fleet.Res{Cores: float64(rapid.IntRange(1, int(n.Soon.Cores)).Draw(t, "need"))}, Serve: rapid.Bool().Draw(t, "serves")}
+			v.Need.Gpus = min(n.Soon.Gpus, float64(rapid.IntRange(0, 2).Draw(t, "needGpus")))
+			in.Guaranteed[v.UID] = v.Team != "guest" && rapid.IntRange(0, 2).Draw(t, "within") == 0
+			if rapid.IntRange(0, 3).Draw(t, "stopping") == 0 { // its room comes by itself
+				in.Teams[v.Team].Stopping.Cores += v.Need.Cores
+				in.Teams[v.Team].Stopping.Gpus += v.Need.Gpus
+			} else {
+				n.Victims = append(n.Victims, v)
+			}
+			n.Soon, n.Free, n.Later = n.Soon.Sub(v.Need), n.Free.Sub(v.Need), n.Later.Sub(v.Need)
+			in.Teams[v.Team].Used.Cores += v.Need.Cores
+			in.Teams[v.Team].Used.Gpus += v.Need.Gpus
+			id++
+		}
+		in.Nodes = append(in.Nodes, n)
+	}
+	w := job("run-900000", rapid.IntRange(1, 3).Draw(t, "level"), rapid.IntRange(1, 3).Draw(t, "legs"), float64(rapid.IntRange(1, 6).Draw(t, "cores")), float64(rapid.IntRange(0, 2).Draw(t, "gpus")))
+	w.Spec.Crew, w.Guaranteed = "owner", rapid.Bool().Draw(t, "guaranteed")
+	in.Guaranteed[w.Spec.UID] = w.Guaranteed
+	in.Jobs = []*Job{w}
+	return in
+}
+
+// Whatever runs: work is stopped for its rank, or for a job within its team's guarantee if it is of
+// another team and beyond that team's; no team falls below its own guarantee by that, and its use
+// counts against its limit until it is off.
+func TestOnlyWhatIsBeyondGuaranteesIsTakenBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := teamsInput(t)
+		used, beyond := map[string]Team{}, map[string]fleet.Res{}
+		for name, team := range in.Teams {
+			used[name], beyond[name] = *team, team.beyond(fleet.Res{})
+		}
+		j := in.Jobs[0]
+		want := j.Waiting
+		plan := Run(in)
+		for _, s := range plan.Stops {
+			for _, v := range in.Nodes[s.Node].Victims {
+				if v.ID != s.ID {
+					continue
+				}
+				if v.Team != "owner" && in.Guaranteed[v.UID] {
+					t.Fatalf("%+v, within its team's guarantee, is stopped for %+v", v, j)
+				}
+				if v.Level < j.Level {
+					continue
+				}
+				if !j.Guaranteed || v.Team == "owner" || in.Guaranteed[v.UID] {
+					t.Fatalf("%+v is stopped for %+v", v, j)
+				}
+				beyond[v.Team] = beyond[v.Team].Sub(v.Need)
+				if left := beyond[v.Team]; left.Cores < -tolerance || left.Gpus < -tolerance {
+					t.Fatalf("%s is left with %+v beyond its guarantee", v.Team, left)
+				}
+			}
+		}
+		for name, team := range in.Teams {
+			if name != "owner" && team.Used != used[name].Used {
+				t.Fatalf("%s counts as using %+v, it uses %+v", name, team.Used, used[name].Used)
+			}
+		}
+		if len(plan.Stops) > 0 && j.Waiting == want {
+			t.Fatalf("work is stopped for nothing")
+		}
+	})
+}
+
+// A job of low rank within its team's guarantee goes before urgent work of others beyond theirs,
+// which leaves the machine at once, replicas too; beyond the guarantee it waits.
+func TestGuaranteedJobDoesNotWaitForGuests(t *testing.T) {
+	for _, guaranteed := range []bool{true, false} {
+		full := node("m1", 8, 4)
+		full.Victims = []Victim{{ID: 1, UID: "run-000001", Team: "guest", Level: 4, Need: fleet.Res{Cores: 8, Gpus: 4}, Serve: true}}
+		full.Free, full.Soon, full.Later = fleet.Res{RAM: 1}, fleet.Res{RAM: 1}, fleet.Res{RAM: 1}
+		in := &Input{Window: 1, ReserveS: 30, Priorities: DefaultPriorities, Teams: map[string]*Team{"owner": {}, "guest": {}}, Nodes: []Node{full}, Guaranteed: map[string]bool{"run-000002": guaranteed}}
+		in.Teams["guest"].Used.Cores, in.Teams["guest"].Used.Gpus = 8, 4
+		mine, guests := job("run-000002", 1, 1, 8, 4), job("run-000003", 4, 1, 8, 4)
+		mine.Spec.Crew, mine.Guaranteed, guests.Spec.Crew = "owner", guaranteed, "guest"
+		in.Jobs = []*Job{guests, mine}
+		if stops := len(Run(in).Stops); (stops == 1) != guaranteed {
+			t.Errorf("guaranteed %v: %d stops", guaranteed, stops)
+		}
+	}
+	// Without guarantees in a deployment nothing of this changes what a round does.
+	a, b := &wire.Work{UID: "run-000001", Crew: "owner"}, &wire.Work{UID: "run-000002", Crew: "guest"}
+	jobs := []*Job{{Spec: a, Level: 1}, {Spec: b, Level: 2}}
+	Order(jobs, 1)
+	if jobs[0].Spec != b {
+		t.Error("a job of a lower rank goes first")
+	}
+}
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -25,7 +25,7 @@
 // whole gets all its room or none. Replicas are only displaced for a job that
 // waited as long as a new machine takes.
 func (r *round) preempt(j *Job, want int) int {
-	if r.lowest >= r.displacesBelow(j) {
+	if r.lowest >= r.displacesBelow(j) && !j.Guaranteed {
 		return 0
 	}
 	b := r.boundIn(displaced)
@@ -52,25 +52,53 @@
 	return j.Level
 }
 
+// displacer is what decides which running work a job may displace.
+type displacer struct {
+	below    int    // work of lower levels
+	overdue  bool   // replicas too
+	team     string // of the job, where teams have guarantees
+	reclaims bool   // the job is within its team's guarantee
+}
+
+func (r *round) displacerOf(j *Job) displacer {
+	d := displacer{below: r.displacesBelow(j), overdue: j.Overdue}
+	if r.in.Guaranteed != nil {
+		d.team, d.reclaims = j.Spec.Crew, j.Guaranteed
+	}
+	return d
+}
+
+// displaces reports whether running work may be displaced. What another team runs within its
+// guarantee stays, whatever its rank: displaced, it would be taken back in the next round. What
+// it runs beyond may be taken back, and who does need not wait for a machine to boot.
+func (d displacer) displaces(v *Victim, guaranteed map[string]bool) bool {
+	if d.team != "" && v.Team != d.team && guaranteed[v.UID] {
+		return false
+	}
+	return d.byRank(v) || d.reclaims && v.Team != d.team
+}
+
+// byRank reports whether running work may be displaced for its rank alone.
+func (d displacer) byRank(v *Victim) bool { return v.Level < d.below && (!v.Serve || d.overdue) }
+
 // mayDisplace reports whether a job may displace running work.
 func (r *round) mayDisplace(j *Job, v *Victim) bool {
-	return v.Level < r.displacesBelow(j) && (!v.Serve || j.Overdue)
+	return r.displacerOf(j).displaces(v, r.in.Guaranteed)
 }
 
-// displaceable is what jobs of one level may displace on each node: how much room that
+// displaceable is what jobs of one kind may displace on each node: how much room that
 // gives, and the least that any of it loses. With that, most nodes need no closer look.
 type displaceable struct {
-	below   int
-	overdue bool
-	gain    []fleet.Res
-	loss    []float64
+	by   displacer
+	gain []fleet.Res
+	loss []float64
 }
 
 // displaceableBy finds or makes what a job may displace.
 func (r *round) displaceableBy(j *Job) *displaceable {
-	below, m := r.displacesBelow(j), r.memory
+	by, m := r.displacerOf(j), r.memory
 	for i := range m.displaced {
-		if d := &m.displaced[i]; d.below == below && d.overdue == j.Overdue {
+		if d := &m.displaced[i]; d.by == by {
 			return d
 		}
 	}
@@ -81,7 +109,7 @@
 		m.displaced = append(m.displaced, displaceable{})
 	}
 	d := &m.displaced[len(m.displaced)-1]
-	d.below, d.overdue = below, j.Overdue
+	d.by = by
 	d.gain, d.loss = resized(d.gain, len(m.kind)), resized(d.loss, len(m.kind))
 	for slot := range m.kind {
 		d.sum(r, int32(slot))
@@ -95,7 +123,7 @@
 	victims := r.running(slot)
 	for i := range victims {
 		v := &victims[i]
-		if v.Level < d.below && (!v.Serve || d.overdue) {
+		if d.by.displaces(v, r.in.Guaranteed) {
 			gain = gain.Add(v.Need)
 			loss = min(loss, v.lossAt(r.in.Now)+1)
 		}
@@ -201,7 +229,7 @@
 			zone = z
 		}
 	}
-	taken := map[string]int{}
+	taken, reclaimed := map[string]int{}, map[string]fleet.Res{}
 	for order.Len() > 0 && len(places) < want {
 		c := order.Pop()
 		z := r.zone(c.node)
@@ -211,6 +239,9 @@
 		if j.Spec.Together {
 			zone = z
 		}
+		if !r.leavesGuarantees(j, &c, reclaimed) {
+			continue
+		}
 		taken[z]++
 		places = append(places, Place{j, int(c.node), 1})
 		chosen = append(chosen, c)
@@ -218,6 +249,45 @@
 	return places, chosen
 }
 
+// leavesGuarantees reports whether what a choice takes back from other teams leaves each of them
+// what it is guaranteed itself, beside what was taken back from it for the job already. If so, it
+// counts as taken back.
+func (r *round) leavesGuarantees(j *Job, c *choice, reclaimed map[string]fleet.Res) bool {
+	d := r.displacerOf(j)
+	if !d.reclaims || c.to == 0 {
+		return true
+	}
+	after := map[string]fleet.Res{}
+	victims := r.victims[c.node]
+	for k := c.from; k < c.to; k++ {
+		v := &victims[k]
+		if d.byRank(v) || !d.displaces(v, r.in.Guaranteed) {
+			continue
+		}
+		taken, known := after[v.Team]
+		if !known {
+			taken = reclaimed[v.Team]
+		}
+		after[v.Team] = taken.Add(v.Need)
+	}
+	for team, taken := range after {
+		t := r.in.Teams[team]
+		if t == nil {
+			return false
+		}
+		if left := t.beyond(taken); left.Cores < -tolerance || left.Gpus < -tolerance {
+			return false
+		}
+	}
+	for team, taken := range after {
+		reclaimed[team] = taken
+	}
+	return true
+}
+
+// tolerance is for the rounding of sums of cores and GPUs.
+const tolerance = 1e-6
+
 // stopVictims stops the work that choices displace, and gives the job their room.
 func (r *round) stopVictims(j *Job, chosen []choice) {
 	stopped := map[int]bool{}
@@ -226,6 +296,10 @@
 		for k := c.from; k < c.to; k++ {
 			if v := &victims[k]; r.mayDisplace(j, v) {
 				stopped[v.ID] = true
+				if t := r.in.Teams[v.Team]; t != nil {
+					t.Stopping.Cores += v.Need.Cores
+					t.Stopping.Gpus += v.Need.Gpus
+				}
 				r.plan.Stops = append(r.plan.Stops, Stop{int(c.node), v.ID, j.SlackS})
 				r.grow(c.node, v.Need)
 			}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -38,10 +38,13 @@
 	Fixed   bool      // stays for work that may not use spot machines
 }
 
-// Victim is a task that a job of a higher level may displace.
+// Victim is a task that a job of a higher level may displace, or one within the guarantee of
+// another team if this one is beyond that of its own.
 type Victim struct {
-	ID    int // the caller's handle
-	Level int // below maxLevels
+	ID    int    // the caller's handle
+	UID   string // its job's id
+	Team  string // its job's team
+	Level int    // below maxLevels
 	Need  fleet.Res
 	Loss  float64   // seconds of work lost if it is stopped; the most, if Since is set
 	Since time.Time // if set, the loss grows from then on
@@ -58,26 +61,36 @@
 
 // Job is a job with tasks that wait.
 type Job struct {
-	Spec    *wire.Work
-	Level   int
-	AtMs    int64
-	Waiting int            // tasks without an attempt
-	Live    int            // attempts that are not provably off
-	ByZone  map[string]int // the same by zone
-	WaitedS float64
-	Fetch   bool    // the fetch of its image may make a start late
-	SlackS  float64 // what is left of the time to start after fetch and delivery
-	LaxS    float64 // how long it can still wait and be in time
-	Overdue bool    // could not wait for a new machine: dearer ones that stay anyway will do
-	Tired   bool    // waited as long as a new machine takes: any machine will do
-	Dear    bool    // no cheaper machine can be had: waiting for one is in vain
-	First   bool    // the first task of a job that should have begun by now
-	Avoid   string  // a machine that it is not placed on
-}
-
-// Team is what a team uses and may use; a limit of 0 is none.
+	Spec  *wire.Work
+	Level int
+	// Guaranteed: it lies within its team's guarantee, and does not wait for other teams.
+	Guaranteed bool
+	AtMs       int64
+	Waiting    int            // tasks without an attempt
+	Live       int            // attempts that are not provably off
+	ByZone     map[string]int // the same by zone
+	WaitedS    float64
+	Fetch      bool    // the fetch of its image may make a start late
+	SlackS     float64 // what is left of the time to start after fetch and delivery
+	LaxS       float64 // how long it can still wait and be in time
+	Overdue    bool    // could not wait for a new machine: dearer ones that stay anyway will do
+	Tired      bool    // waited as long as a new machine takes: any machine will do
+	Dear       bool    // no cheaper machine can be had: waiting for one is in vain
+	First      bool    // the first task of a job that should have begun by now
+	Avoid      string  // a machine that it is not placed on
+}
+
+// Team is what a team uses, may use and is guaranteed; a limit or a guarantee of 0 is none.
 type Team struct {
-	Used, Limit struct{ Cores, Gpus float64 }
+	Used, Limit, Guarantee struct{ Cores, Gpus float64 }
+	// Stopping is what of Used is being stopped. It counts against the limit until it is off,
+	// and toward the guarantee no more.
+	Stopping struct{ Cores, Gpus float64 }
+}
+
+// beyond is how much a team would have beyond its guarantee if some more of it were stopped.
+func (t *Team) beyond(more fleet.Res) fleet.Res {
+	return fleet.Res{Cores: t.Used.Cores - t.Stopping.Cores - t.Guarantee.Cores - more.Cores, Gpus: t.Used.Gpus - t.Stopping.Gpus - t.Guarantee.Gpus - more.Gpus}
 }
 
 // Input is the picture of one round. Its nodes are the machines of View, by slot, and then
@@ -92,6 +105,9 @@
 	ReserveS   float64 // a top job that waited longer than this gets a reservation
 	Priorities [5]float64
 	After      *Plan // if set, the round begins with the room that this plan has left
+	// Guaranteed is the jobs within the guarantees of their teams, by id, those that wait for
+	// nothing included; nil if no team has a guarantee.
+	Guaranteed map[string]bool
 	// VictimsBelow: work of this level or above is not displaced by any job; 0 leaves it to
 	// the levels of the jobs.
 	VictimsBelow int
@@ -133,7 +149,7 @@
 // rank below only when the window is small; order is kept by the pass itself.
 var DefaultPriorities = [5]float64{0, 1, 4, 16, 64}
 
-// Order sorts jobs by rank, then by how long they can still wait, then age,
+// Order sorts jobs by whether their team's guarantee covers them, then by rank, then by how long they can still wait, then age,
 // then id. Work that cannot be in time any more lets the rest of its rank pass,
 // but not for ever. First tasks of jobs that should have begun come first, those
 // of the oldest job before others.
@@ -141,9 +157,9 @@
 	late := func(j *Job) int { return b2i(j.LaxS < 0 && j.Spec.Shape == wire.Sweep && j.WaitedS < patienceS) }
 	slices.SortFunc(jobs, func(a, b *Job) int {
 		if a.First && b.First {
-			return cmp.Or(cmp.Compare(b.Level, a.Level), cmp.Compare(a.AtMs, b.AtMs), cmp.Compare(a.Spec.UID, b.Spec.UID))
+			return cmp.Or(cmp.Compare(b2i(b.Guaranteed), b2i(a.Guaranteed)), cmp.Compare(b.Level, a.Level), cmp.Compare(a.AtMs, b.AtMs), cmp.Compare(a.Spec.UID, b.Spec.UID))
 		}
-		return cmp.Or(cmp.Compare(b.Level, a.Level), cmp.Compare(b2i(b.First), b2i(a.First)),
+		return cmp.Or(cmp.Compare(b2i(b.Guaranteed), b2i(a.Guaranteed)), cmp.Compare(b.Level, a.Level), cmp.Compare(b2i(b.First), b2i(a.First)),
 			cmp.Compare(late(a), late(b)), cmp.Compare(a.LaxS, b.LaxS),
 			cmp.Compare(a.AtMs, b.AtMs), cmp.Compare(a.Spec.UID, b.Spec.UID))
 	})
--- a/internal/standin/day_test.go
+++ b/internal/standin/day_test.go
@@ -95,6 +95,8 @@
 	stops [3]context.CancelFunc
 	old   [3]bool                 // nodes of the release before cluster version 2
 	next  *config.NextStateLimits // what the nodes are told of the state service's limits
+	// teams, if any, are those of the deployment.
+	teams []config.Team
 	// relayConnections, if above 0, lets followers relay reports, with so many connections
 	// to a node.
 	relayConnections int
@@ -120,6 +122,9 @@
 	}
 	cfg := nodeConfig(d.t, i)
 	cfg.Cluster.State.Next = d.next
+	if d.teams != nil {
+		cfg.Cluster.Teams = d.teams
+	}
 	if d.relayConnections > 0 {
 		cfg.RelayCheckIns, cfg.Cluster.Limits.MaxConnections = !d.old[i], d.relayConnections
 	}
--- /dev/null
+++ b/internal/standin/guests_test.go
@@ -0,0 +1,101 @@
+package standin_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lotusstile.dev/lotusstile/internal/config"
+	"lotusstile.dev/lotusstile/wire"
+)
+
+// ownersDay plays a team within its guarantee, at a leader that ends twice, with or without guests
+// whose work of the highest rank fills all machines, on machines that cannot be more. It returns how
+// long the owner's jobs took from their submission to their first run, on the mean.
+func ownersDay(t *testing.T, guests bool) (mean time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDay(t, 5, func(d *day) {
+			d.teams = []config.Team{{Name: "crew", Cpus: 128, Gpus: 16}, {Name: "free"}}
+		})
+		d.w.Capacity = 6
+		d.w.AddMachines("g8", "a", 6)
+		time.Sleep(5 * time.Second)
+		guest := wire.Work{UID: "run-000900", Berth: "glean", Crew: "free", Shape: wire.Standing, Rank: wire.Critical, Legs: 10,
+			Cores: 20, Gpus: 2, RAMGb: 20, Rollout: "img", ImageGb: 1}
+		swarm := wire.Work{UID: "run-000901", Berth: "swarm", Crew: "free", Shape: wire.Sweep, Rank: wire.High, Legs: 400,
+			Cores: 4, Gpus: 0, RAMGb: 1, Rollout: "img", ImageGb: 1, ExpectS: 6}
+		var users sync.WaitGroup
+		deadline := time.Now().Add(8 * time.Minute)
+		if guests {
+			for _, spec := range []wire.Work{guest, swarm} {
+				users.Go(func() { d.w.User(spec, 200*time.Second, deadline) })
+			}
+		}
+		time.Sleep(20 * time.Second)
+		for _, at := range []time.Duration{30 * time.Second, 75 * time.Second} {
+			time.AfterFunc(at, func() {
+				for i := range labels {
+					if d.leads(i) {
+						d.crash(i)
+						time.AfterFunc(4*time.Second, func() { d.start(i) })
+						return
+					}
+				}
+			})
+		}
+		const jobs = 12
+		r := rand.New(rand.NewPCG(1, 1))
+		var total time.Duration
+		var mu sync.Mutex
+		for i := range jobs {
+			spec := wire.Work{UID: fmt.Sprintf("run-0000%02d", i), Berth: "own", Crew: "crew", Shape: wire.Sweep, Rank: wire.Standard, Legs: 2,
+				Cores: 8 + float64(r.IntN(8)), Gpus: 2, RAMGb: 20, Rollout: "img", ImageGb: 1, ExpectS: 12}
+			users.Go(func() {
+				began := time.Now()
+				if !d.w.SubmitUntil(spec, deadline) {
+					return
+				}
+				for time.Now().Before(deadline) {
+					if _, view := d.w.Ask("n1", "GET", "/work/"+spec.UID, nil); view.Running+view.Done >= spec.Legs || view.Status == wire.JobDone {
+						break
+					}
+					time.Sleep(200 * time.Millisecond)
+				}
+				mu.Lock()
+				total += time.Since(began)
+				mu.Unlock()
+				d.w.Follow(spec, 0, deadline)
+			})
+			time.Sleep(9 * time.Second)
+		}
+		users.Wait()
+		mean = total / jobs
+		if guests {
+			if done := d.w.Told(swarm.UID); done != wire.JobDone {
+				t.Errorf("the guests' array is %q in the end: work that room is left for makes progress", done)
+			}
+		}
+		if b := d.w.Broken(); len(b) > 0 {
+			t.Errorf("rules broken:\n%s", strings.Join(b[:min(5, len(b))], "\n"))
+		}
+		d.end()
+	})
+	return mean
+}
+
+// A team within its guarantee waits no longer for its starts with guests than without, though
+// their work is of a higher rank, fills the machines and the leader changes twice; and what guests
+// can do beside, they do. Guarantees were once not looked at at all: owners waited until guests left.
+func TestOwnersWaitNoLongerWithGuests(t *testing.T) {
+	t.Parallel()
+	alone, beside := ownersDay(t, false), ownersDay(t, true)
+	// What is stopped takes a report to leave, and one more to tell.
+	if most := alone + 4*time.Second; beside > most {
+		t.Errorf("owners' jobs start after %v beside guests, %v alone", beside, alone)
+	}
+	t.Logf("owners' jobs start after %v beside guests, %v alone", beside, alone)
+}
