--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# TROUBLE=0 leaves out the disruption. See claim.txt.
+exec "$(dirname "$0")/../run-case.sh" fields 3
