--- a/review/cases/world.go
+++ b/review/cases/world.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -95,6 +96,10 @@
 	return listener.Addr().String(), nil
 }
 
+// The ports of the controllers are chosen below those that the system gives to connections, so that none is taken
+// between the choice and the start of the controllers.
+const firstPort, ports = 20000, 12000
+
 // choosePorts finds free ports for the controllers.
 func (w *world) choosePorts(ctx context.Context) error {
 	var held []net.Listener
@@ -105,9 +110,9 @@
 	}()
 	for i := range controllers {
 		for _, address := range []*string{&w.addresses.listen[i], &w.addresses.mesh[i]} {
-			l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+			l, err := listenOnRandomPort(ctx)
 			if err != nil {
-				return fmt.Errorf("find a free port: %w", err)
+				return err
 			}
 			held = append(held, l)
 			*address = l.Addr().String()
@@ -116,6 +121,18 @@
 	return nil
 }
 
+// listenOnRandomPort listens on a free port from firstPort on.
+func listenOnRandomPort(ctx context.Context) (l net.Listener, err error) {
+	const attempts = 100
+	for range attempts {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		if l, err = (&net.ListenConfig{}).Listen(ctx, "tcp", address); err == nil {
+			return l, nil
+		}
+	}
+	return nil, fmt.Errorf("find a free port: %w", err)
+}
+
 // startController starts a controller with the command of the deploy file.
 func (w *world) startController(ctx context.Context, i int) error {
 	path := filepath.Join(w.dir, w.deployment.label(i)+".toml")
