--- a/review/cases/pipeline.go
+++ b/review/cases/pipeline.go
@@ -11,7 +11,7 @@
 
 const (
 	// pipelineJobs is the number of jobs of the pipeline before its last one.
-	pipelineJobs = 450
+	pipelineJobs = 500
 	// pipelineDueS is the deadline that the last job has for the whole pipeline.
 	pipelineDueS = 9000
 )
@@ -35,7 +35,7 @@
 	if !w.submit(ctx, 0, last) {
 		return nil, fmt.Errorf("%w: the last job of the pipeline was not accepted", errCouldNotRun)
 	}
-	sleep(ctx, time.Second)
+	sleep(ctx, 300*time.Millisecond)
 	array := &wire.JobSpec{
 		UID: "run-000412", JobClass: "adige", Team: "sala-nomine", Kind: wire.JobArray, Priority: wire.Standard,
 		TaskCount: 2, Cores: 11, Gpus: 2, RAMGb: 50, Image: "img-02", ImageGb: 1, ExpectedRunS: 5,
