--- a/review/cases/fields.go
+++ b/review/cases/fields.go
@@ -25,7 +25,7 @@
 		body = append(body[:len(body)-1], []byte(`,"uid":"`+other+`"}`)...)
 	}
 	a := w.submitBody(ctx, 0, body)
-	w.rec.printf("user: POST /work %s: %d %s", body, a.status, a.body)
+	w.rec.printf("user: POST %s %s: %d %s", jobsPath, body, a.status, a.body)
 	if a.status != http.StatusCreated && a.status != http.StatusOK {
 		return []string{fmt.Sprintf("a valid submission was answered %d", a.status)}, nil
 	}
--- a/review/cases/users.go
+++ b/review/cases/users.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// jobsPath is where jobs are submitted and, with a job's id behind it, asked for.
+	jobsPath = "/work"
 	// submitTimeout and pollTimeout are how long users wait for an answer.
 	submitTimeout, pollTimeout = 5 * time.Second, 2 * time.Second
 	// retryFor is how long users repeat a submission in total, and maxRetryAfter the longest wait between two.
@@ -60,7 +62,7 @@
 func (w *world) submitBody(ctx context.Context, node int, body []byte) answer {
 	began := time.Now()
 	for {
-		a := w.request(ctx, node, http.MethodPost, "/work", body, submitTimeout)
+		a := w.request(ctx, node, http.MethodPost, jobsPath, body, submitTimeout)
 		switch a.status {
 		case http.StatusOK, http.StatusCreated, http.StatusBadRequest, http.StatusUnprocessableEntity:
 			return a
@@ -82,14 +84,14 @@
 		panic(err) // a job's description can always be encoded
 	}
 	a := w.submitBody(ctx, node, body)
-	w.rec.printf("user: POST /work %s: %d %s", body, a.status, a.body)
+	w.rec.printf("user: POST %s %s: %d %s", jobsPath, body, a.status, a.body)
 	return a.status == http.StatusOK || a.status == http.StatusCreated
 }
 
 // poll asks a controller for a job.
 func (w *world) poll(ctx context.Context, node int, uid string) answer {
-	a := w.request(ctx, node, http.MethodGet, "/work/"+uid, nil, pollTimeout)
-	w.rec.printf("user: GET /work/%s at %s: %d %s", uid, w.deployment.label(node), a.status, a.body)
+	a := w.request(ctx, node, http.MethodGet, jobsPath+"/"+uid, nil, pollTimeout)
+	w.rec.printf("user: GET %s/%s at %s: %d %s", jobsPath, uid, w.deployment.label(node), a.status, a.body)
 	return a
 }
 
