Match the names of changed settings and of stored records case-sensitively

Seen by callers: PUT /admin/settings {"Stamp":0,"window":50} was answered 200 and changed the window; with "Window":50,"window":60 the later one won, although unknown fields are to get 400. Two decoders read the body; one typed body now does (wire.SettingsChange), decoded strictly. Null keeps a setting, as before. Also: the records that cancellation, election and settings read are decoded by wire.Decode; no fault was seen there. Test: TestChangedSettingsApplyOnEveryNode has four more bodies; before: got 200 and 409, want 400.

--- a/internal/election/terms.go
+++ b/internal/election/terms.go
@@ -79,7 +79,7 @@
 		return
 	}
 	var leader records.Leader
-	if err := json.Unmarshal(value, &leader); err != nil {
+	if err := wire.Decode(value, &leader); err != nil {
 		slog.Error("leader record cannot be decoded", "key", key, "err", err)
 		return
 	}
--- a/internal/httpapi/cancel.go
+++ b/internal/httpapi/cancel.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"log/slog"
 	"net/http"
@@ -57,7 +56,7 @@
 // status, the record was changed meanwhile: the caller has to read it again.
 func (s *Server) cancelRecord(ctx context.Context, uid string, item wire.KeyValue) error {
 	var job records.Job
-	if err := json.Unmarshal(item.Value, &job); err != nil {
+	if err := wire.Decode(item.Value, &job); err != nil {
 		return err
 	}
 	if job.Status.Final() {
--- a/internal/httpapi/operators.go
+++ b/internal/httpapi/operators.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"net/http"
 
@@ -10,6 +9,7 @@
 
 	"lotusstile.dev/lotusstile/internal/records"
 	"lotusstile.dev/lotusstile/internal/store"
+	"lotusstile.dev/lotusstile/wire"
 )
 
 // metrics writes the metrics in the Prometheus text format.
@@ -35,21 +35,15 @@
 	if err != nil {
 		return err
 	}
-	var base struct {
-		ModRevision *uint64 `json:"Stamp"`
-	}
-	if err := json.Unmarshal(body, &base); err != nil || base.ModRevision == nil {
-		return echo.NewHTTPError(http.StatusBadRequest, "the body must be a JSON object with the Stamp of the settings that it changes")
-	}
-	next := *s.Settings.Current()
-	if next.ModRevision != *base.ModRevision {
-		return c.JSON(http.StatusConflict, next)
-	}
-	dec := json.NewDecoder(bytes.NewReader(body))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&next); err != nil {
+	change, err := wire.ParseSettingsChange(body)
+	if err != nil {
 		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 	}
+	current := s.Settings.Current()
+	if current.ModRevision != *change.ModRevision {
+		return c.JSON(http.StatusConflict, current)
+	}
+	next := change.ApplyTo(*current)
 	if err := records.ValidateSettings(next); err != nil {
 		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 	}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -53,7 +52,7 @@
 		return
 	}
 	next := records.DefaultSettings(s.reportS)
-	if err := json.Unmarshal(event.Value, &next); err != nil {
+	if err := wire.Decode(event.Value, &next); err != nil {
 		slog.Error("could not decode stored settings", "err", err)
 		return
 	}
--- a/internal/simcluster/users_test.go
+++ b/internal/simcluster/users_test.go
@@ -156,6 +156,8 @@
 		for _, malformed := range []string{
 			`{}`, `[]`, `{"Stamp":0,"Window":0}`, `{"Stamp":0,"IntervalS":-1}`, `{"Stamp":0,"Windows":5}`,
 			`{"Stamp":0,"Window":"x"}`, `nonsense`,
+			// Names in JSON are case-sensitive.
+			`{"Stamp":0,"window":50}`, `{"stamp":0,"Window":50}`, `{"Stamp":0,"Window":50,"STAMP":0}`, `{"Stamp":0,"Window":50,"window":60}`,
 		} {
 			sc.expectStatus(http.StatusBadRequest, "n0", http.MethodPut, settingsPath, malformed)
 		}
--- a/wire/admin.go
+++ b/wire/admin.go
@@ -1,5 +1,10 @@
 package wire
 
+import (
+	"errors"
+	"fmt"
+)
+
 // Settings are the settings that operators can change at run time through the administration API.
 type Settings struct {
 	ModRevision uint64  `json:"Stamp"`     // of the settings in the state store; 0 until they are first changed
@@ -9,6 +14,46 @@
 	Profiling   bool    `json:"Profiling"` // whether profiles are served at /admin/pprof
 }
 
+// SettingsChange is the body of PUT /admin/settings. A field that is null or missing keeps its setting.
+type SettingsChange struct {
+	ModRevision *uint64  `json:"Stamp"` // of the settings that the change is based on; required
+	IntervalS   *float64 `json:"IntervalS"`
+	Window      *int     `json:"Window"`
+	Headroom    *float64 `json:"Spare"`
+	Profiling   *bool    `json:"Profiling"`
+}
+
+// ParseSettingsChange decodes the body of PUT /admin/settings. It returns an error if a field is unknown or
+// of the wrong type, or if Stamp is missing.
+func ParseSettingsChange(body []byte) (SettingsChange, error) {
+	var change SettingsChange
+	if err := DecodeStrict(body, &change); err != nil {
+		return SettingsChange{}, fmt.Errorf("body is not a change of settings: %w", err)
+	}
+	if change.ModRevision == nil {
+		return SettingsChange{}, errors.New("body must have the Stamp of the settings that it changes")
+	}
+	return change, nil
+}
+
+// ApplyTo returns the settings that result from the change of base.
+func (c *SettingsChange) ApplyTo(base Settings) Settings {
+	base.ModRevision = replaced(base.ModRevision, c.ModRevision)
+	base.IntervalS = replaced(base.IntervalS, c.IntervalS)
+	base.Window = replaced(base.Window, c.Window)
+	base.Headroom = replaced(base.Headroom, c.Headroom)
+	base.Profiling = replaced(base.Profiling, c.Profiling)
+	return base
+}
+
+// replaced returns *replacement, or current if replacement is nil.
+func replaced[T any](current T, replacement *T) T {
+	if replacement == nil {
+		return current
+	}
+	return *replacement
+}
+
 // Status is the response to GET /admin/status.
 type Status struct {
 	Node               string      `json:"Node"`
--- a/wire/decode.go
+++ b/wire/decode.go
@@ -12,3 +12,8 @@
 // otherwise it accepts the same input. It takes one pass over the input where encoding/json takes two:
 // with encoding/json, decoding heartbeats was the largest single cost of a leader.
 func Decode(data []byte, v any) error { return json.Unmarshal(data, v, decodeOptions) }
+
+// DecodeStrict decodes like Decode, but returns an error for a field that v does not have.
+func DecodeStrict(data []byte, v any) error {
+	return json.Unmarshal(data, v, decodeOptions, json.RejectUnknownMembers(true))
+}
--- a/wire/doc.go
+++ b/wire/doc.go
@@ -243,7 +243,15 @@
 //
 // # Administration API
 //
-// Settings: body of PUT /admin/settings, response to GET and PUT /admin/settings
+// Settings: response to GET and PUT /admin/settings
+//
+//	Stamp        ModRevision
+//	IntervalS    IntervalS
+//	Window       Window
+//	Spare        Headroom
+//	Profiling    Profiling
+//
+// SettingsChange: body of PUT /admin/settings
 //
 //	Stamp        ModRevision
 //	IntervalS    IntervalS
