Ignore settings whose names differ from known ones in case only

Seen by operators: a settings file with a setting that this release doesn't know, such as Label beside label, or cluster.workers.Lease_S, replaced the known one, or failed with its type. Change: such settings are removed from the decoded file before it is decoded into Config; a file without them is decoded as before, with line numbers in errors.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,8 +9,6 @@
 import (
 	"fmt"
 	"os"
-
-	"github.com/pelletier/go-toml/v2"
 )
 
 // Member is another controller of the deployment.
@@ -91,7 +89,7 @@
 // each invalid setting.
 func Parse(data []byte) (*Config, error) {
 	var c Config
-	if err := toml.Unmarshal(data, &c); err != nil {
+	if err := decode(data, &c); err != nil {
 		return nil, fmt.Errorf("settings are not valid TOML: %w", err)
 	}
 	if err := c.validate(); err != nil {
