Compute the urgency of pipelines once a cycle, each job once

Cause: a changed due time was passed on depth first, along each path, under the controller's lock. Change: events mark jobs as stale; Graph.UpdateUrgency computes them again in topological order, once a scheduling cycle. Cancellations and removals don't recurse; HasOpenDependents reads a count; a job that is added again doesn't stand twice among its predecessors' dependents.

--- a/internal/controller/dependencies.go
+++ b/internal/controller/dependencies.go
@@ -73,14 +73,20 @@
 	}
 }
 
-// applyEffects updates the jobs that are affected by a change of the graph. c.mu is held.
-func (c *Controller) applyEffects(effects jobdag.Effects, now time.Time) {
-	for _, uid := range effects.Urgency {
+// updateUrgency lets jobs inherit the priority and the due time of those that depend on them, as of all changes of the
+// graph since the last call. Scheduling cycles call it once, and not each change: a listing with thousands of jobs would
+// otherwise change the same jobs again and again. c.mu is held.
+func (c *Controller) updateUrgency() {
+	for _, uid := range c.jobs.graph.UpdateUrgency() {
 		if j := c.jobs.get(uid); j != nil {
 			j.level, j.dueMs = c.jobs.graph.Urgency(uid)
 			c.markMachinesChanged(j)
 		}
 	}
+}
+
+// applyEffects updates the jobs that are affected by a change of the graph. c.mu is held.
+func (c *Controller) applyEffects(effects jobdag.Effects, now time.Time) {
 	for _, uid := range effects.Ready {
 		if j := c.jobs.get(uid); j != nil {
 			c.markReady(j, now)
--- a/internal/controller/dependencies_test.go
+++ b/internal/controller/dependencies_test.go
@@ -40,6 +40,7 @@
 	c.catalog = &wire.Catalog{MachineTypes: []wire.MachineType{{Name: "g8", Cores: 64, Gpus: 8, RAMGb: 512, BootS: 45, Zones: []string{"a"}}}}
 	c.addStage("run-000001", wire.BestEffort, 0, now, 1)
 	c.addStage("run-000002", wire.High, 200, now, 2, "run-000001")
+	c.updateUrgency()
 	first, last := c.jobs.get("run-000001"), c.jobs.get("run-000002")
 	urgency := c.urgency()
 	for _, tc := range []struct {
@@ -57,6 +58,7 @@
 	rec := *last.record
 	rec.Status = wire.JobAborted
 	c.applyJobEventLocked(last.uid, watchcache.Entry{Job: &rec, ModRevision: 3})
+	c.updateUrgency()
 	if got := urgency.effectiveLevel(first, now.Add(150*time.Second)); got != wire.BestEffort.Level() {
 		t.Errorf("after the last stage is cancelled, the first has level %d, want %d", got, wire.BestEffort.Level())
 	}
--- a/internal/controller/snapshot.go
+++ b/internal/controller/snapshot.go
@@ -40,6 +40,7 @@
 // newSnapshot makes the snapshot of a cycle. It also stops the live tasks of each gang that is
 // incomplete. c.mu is held, and the catalog has been read.
 func (c *Controller) newSnapshot(now time.Time, interval time.Duration) snapshot {
+	c.updateUrgency()
 	c.refreshNodes(now)
 	in := &sched.Input{
 		Now:              now,
--- a/internal/jobdag/graph.go
+++ b/internal/jobdag/graph.go
@@ -39,27 +39,34 @@
 type Effects struct {
 	Ready     []string // jobs whose dependencies are now all done
 	Cancelled []string // jobs that are cancelled because a job that they depend on is
-	Urgency   []string // jobs whose priority or due time has changed
 }
 
-// node is a job of the graph.
+// node is a job of the graph. The fields that its neighbours read come first, so that they share a cache line.
 type node struct {
+	state        State
+	isStale      bool // its urgency has to be computed again
+	isRemoved    bool // it is no longer in the graph
+	archived     bool // its record is not known or was removed: the node stays only while other jobs depend on it
+	urgency      urgency
+	startByMs    float64 // when its predecessors have to be done, so that it is done by its due time
+	visitedBy    uint64  // the last traversal that has visited it
+	predecessors []*node
+	successors   []*node // dependents, also those that were removed from the graph until they are compacted away
 	Job
-	state               State
-	archived            bool // its record is not known or was removed: the node stays only while other jobs depend on it
-	predecessors        []*node
-	successors          map[string]*node // dependents in the graph
-	pendingPredecessors int              // number of predecessors that are not done
 	uid                 string
-	effectiveLevel      int     // the highest of its own priority and those of its open successors
-	effectiveDueMs      float64 // the earliest of its own due time and those that its open successors require
+	removedSuccessors   int // number of successors that were removed from the graph
+	pendingPredecessors int // number of predecessors that are not done
+	openSuccessors      int // number of successors in state Open
 }
 
 // Graph holds the jobs that are not archived, and archived jobs while other jobs in the graph depend on them.
-// It is not safe for concurrent use.
+// A change takes time in proportion to the jobs and dependencies that it affects, each of which it handles
+// once. Graph is not safe for concurrent use.
 type Graph struct {
 	nodes      map[string]*node
 	unresolved map[string]*node
+	stale      []*node // nodes whose urgency has to be computed again
+	traversals uint64  // number of traversals so far
 }
 
 // New returns an empty graph.
@@ -74,36 +81,50 @@
 	} else if n.state != Unresolved {
 		return effects
 	}
-	delete(g.unresolved, uid)
-	n.Job, n.state, n.archived = job, Open, false
+	n.Job, n.archived = job, false
+	n.setUrgency(urgency{level: job.Level, dueMs: job.DueMs})
+	unlink(n)
+	g.traversals++
 	for _, name := range job.Dependencies {
-		predecessor := g.nodes[name]
-		if predecessor == nil {
-			predecessor = g.newNode(name)
-			g.unresolved[name] = predecessor
-		}
-		predecessor.successors[uid] = n
-		n.predecessors = append(n.predecessors, predecessor)
-		if predecessor.state != Done {
-			n.pendingPredecessors++
-		}
+		g.addPredecessor(n, name)
 	}
+	g.setState(n, Open)
 	if slices.ContainsFunc(n.predecessors, func(p *node) bool { return p.state == Cancelled }) {
-		g.transition(n, Cancelled, &effects)
 		effects.Cancelled = append(effects.Cancelled, uid)
+		g.finish(n, Cancelled, &effects)
 	}
-	g.updateUrgency(n, &effects)
-	// If the job's successors were added before it, its urgency may be the same as before. updateUrgency has
-	// then not updated its predecessors, which inherit this urgency, too.
+	return effects
+}
+
+// unlink removes the dependencies of n, which has some if its record was removed before and is known again now.
+func unlink(n *node) {
 	for _, predecessor := range n.predecessors {
-		g.updateUrgency(predecessor, &effects)
+		predecessor.successors = slices.DeleteFunc(predecessor.successors, func(s *node) bool { return s == n })
+	}
+	n.predecessors, n.pendingPredecessors = nil, 0
+}
+
+// addPredecessor adds a dependency of n. If the graph does not have that job, it is added in state Unresolved.
+func (g *Graph) addPredecessor(n *node, name string) {
+	predecessor := g.nodes[name]
+	if predecessor == nil {
+		predecessor = g.newNode(name)
+		g.unresolved[name] = predecessor
+	}
+	if predecessor.visitedBy == g.traversals {
+		return // n names it twice
+	}
+	predecessor.visitedBy = g.traversals
+	predecessor.successors = append(predecessor.successors, n)
+	n.predecessors = append(n.predecessors, predecessor)
+	if predecessor.state != Done {
+		n.pendingPredecessors++
 	}
-	return effects
 }
 
 // newNode adds a node in state Unresolved.
 func (g *Graph) newNode(uid string) *node {
-	n := &node{uid: uid, archived: true, successors: map[string]*node{}, effectiveDueMs: math.Inf(1)}
+	n := &node{uid: uid, archived: true, urgency: urgency{dueMs: math.Inf(1)}}
 	n.DueMs = math.Inf(1)
 	g.nodes[uid] = n
 	return n
@@ -113,60 +134,56 @@
 // nothing if the job is not in the graph, if its state is final already, or if state is not final.
 func (g *Graph) Finish(uid string, state State) Effects {
 	var effects Effects
-	if n := g.nodes[uid]; n != nil && state.Final() {
-		g.transition(n, state, &effects)
+	if n := g.nodes[uid]; n != nil && state.Final() && !n.state.Final() {
+		g.finish(n, state, &effects)
 	}
 	return effects
 }
 
-// transition sets the state of a job to Done or Cancelled, updates its successors and predecessors, and adds
-// the affected jobs to effects. No other function sets a final state. A state that is final already stays.
-func (g *Graph) transition(n *node, to State, effects *Effects) {
-	if n.state == to || n.state.Final() {
-		return
-	}
-	n.state = to
-	delete(g.unresolved, n.uid)
-	for _, successor := range n.successors {
-		if successor.state != Open {
-			continue
-		}
-		switch to {
-		case Done:
-			if successor.pendingPredecessors--; successor.pendingPredecessors == 0 {
-				effects.Ready = append(effects.Ready, successor.uid)
+// finish sets the state of a job that is not final to Done or Cancelled, updates the jobs that depend on it, and
+// adds those that are affected to effects.
+func (g *Graph) finish(n *node, to State, effects *Effects) {
+	g.setState(n, to)
+	for pending := []*node{n}; len(pending) > 0; {
+		last := len(pending) - 1
+		finished := pending[last]
+		pending = pending[:last]
+		for _, successor := range finished.successors {
+			switch {
+			case successor.state != Open:
+			case to == Cancelled:
+				g.setState(successor, Cancelled)
+				effects.Cancelled = append(effects.Cancelled, successor.uid)
+				pending = append(pending, successor)
+			default:
+				if successor.pendingPredecessors--; successor.pendingPredecessors == 0 {
+					effects.Ready = append(effects.Ready, successor.uid)
+				}
 			}
-		case Cancelled:
-			g.transition(successor, Cancelled, effects)
-			effects.Cancelled = append(effects.Cancelled, successor.uid)
 		}
 	}
-	for _, predecessor := range n.predecessors {
-		g.updateUrgency(predecessor, effects)
-	}
 }
 
-// updateUrgency computes a job's effective priority and due time again. If they have changed, it does the
-// same for the jobs that this job depends on.
-func (g *Graph) updateUrgency(n *node, effects *Effects) {
-	level, dueMs := n.Level, n.DueMs
-	for _, successor := range n.successors {
-		if successor.state != Open {
-			continue
-		}
-		level = max(level, successor.effectiveLevel)
-		dueMs = min(dueMs, successor.effectiveDueMs-successor.ExpectedRunMs)
+// setState sets the state of a job and marks the urgency of the jobs that it affects as stale. No other function
+// sets the state of a node.
+func (g *Graph) setState(n *node, to State) {
+	wasOpen := n.state == Open
+	n.state = to
+	delete(g.unresolved, n.uid)
+	if to == Unresolved {
+		g.unresolved[n.uid] = n
 	}
-	if level == n.effectiveLevel && dueMs == n.effectiveDueMs {
+	if wasOpen == (to == Open) {
 		return
 	}
-	n.effectiveLevel, n.effectiveDueMs = level, dueMs
-	effects.Urgency = append(effects.Urgency, n.uid)
-	if n.state != Open {
-		return // its predecessors inherit urgency from open jobs only
+	change := 1
+	if wasOpen {
+		change = -1
 	}
+	g.markStale(n)
 	for _, predecessor := range n.predecessors {
-		g.updateUrgency(predecessor, effects)
+		predecessor.openSuccessors += change
+		g.markStale(predecessor)
 	}
 }
 
@@ -179,22 +196,38 @@
 	}
 	n.archived = true
 	if n.state == Open {
-		n.state = Unresolved
-		g.unresolved[uid] = n
+		g.setState(n, Unresolved)
 	}
-	g.removeIfUnused(n)
+	g.removeUnused(n)
 }
 
-// removeIfUnused removes an archived job if no job in the graph depends on it.
-func (g *Graph) removeIfUnused(n *node) {
-	if !n.archived || len(n.successors) > 0 {
-		return
+// removeUnused removes an archived job if no job in the graph depends on it, and then likewise the jobs that it
+// depended on.
+func (g *Graph) removeUnused(n *node) {
+	for candidates := []*node{n}; len(candidates) > 0; {
+		last := len(candidates) - 1
+		n := candidates[last]
+		candidates = candidates[:last]
+		if n.isRemoved || !n.archived || len(n.successors) > n.removedSuccessors {
+			continue
+		}
+		n.isRemoved = true
+		delete(g.nodes, n.uid)
+		delete(g.unresolved, n.uid)
+		for _, predecessor := range n.predecessors {
+			predecessor.countRemovedSuccessor()
+			candidates = append(candidates, predecessor)
+		}
 	}
-	delete(g.nodes, n.uid)
-	delete(g.unresolved, n.uid)
-	for _, predecessor := range n.predecessors {
-		delete(predecessor.successors, n.uid)
-		g.removeIfUnused(predecessor)
+}
+
+// countRemovedSuccessor counts a successor that was removed from the graph. It compacts the successors once more than
+// half of them are removed, so that each removal takes constant time on average.
+func (n *node) countRemovedSuccessor() {
+	n.removedSuccessors++
+	if 2*n.removedSuccessors > len(n.successors) {
+		n.successors = slices.DeleteFunc(n.successors, func(s *node) bool { return s.isRemoved })
+		n.removedSuccessors = 0
 	}
 }
 
@@ -215,24 +248,7 @@
 // HasOpenDependents reports whether an open job depends on this one.
 func (g *Graph) HasOpenDependents(uid string) bool {
 	n := g.nodes[uid]
-	if n == nil {
-		return false
-	}
-	for _, successor := range n.successors {
-		if successor.state == Open {
-			return true
-		}
-	}
-	return false
-}
-
-// Urgency returns a job's effective priority level and due time, which it may have inherited from its
-// dependents; 0 and +Inf if the job is not in the graph.
-func (g *Graph) Urgency(uid string) (level int, dueMs float64) {
-	if n := g.nodes[uid]; n != nil {
-		return n.effectiveLevel, n.effectiveDueMs
-	}
-	return 0, math.Inf(1)
+	return n != nil && n.openSuccessors > 0
 }
 
 // Unresolved returns the UIDs of the jobs in state Unresolved, sorted. Their final statuses have to be read.
--- a/internal/jobdag/graph_test.go
+++ b/internal/jobdag/graph_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"slices"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -53,6 +54,12 @@
 	return level, dueMs
 }
 
+func (m *model) hasOpenDependents(uid string) bool {
+	return slices.ContainsFunc(m.order, func(other string) bool {
+		return m.state(other) == Open && slices.Contains(m.jobs[other].Dependencies, uid)
+	})
+}
+
 // harness applies the same changes to a graph and to its model, and collects the effects that the graph
 // reported.
 type harness struct {
@@ -60,7 +67,8 @@
 	graph         *Graph
 	reportedReady map[string]bool
 	cancelled     map[string]bool
-	notAdded      []string // accepted jobs that are not in the graph yet
+	urgency       map[string]urgency // as a caller knows it that follows the graph's reports
+	notAdded      []string           // accepted jobs that are not in the graph yet
 }
 
 func newHarness(t *rapid.T) *harness {
@@ -69,6 +77,7 @@
 		graph:         New(),
 		reportedReady: map[string]bool{},
 		cancelled:     map[string]bool{},
+		urgency:       map[string]urgency{},
 	}
 	// The graph learns of a job that was archived earlier only from its final status.
 	if rapid.Bool().Draw(t, "old") {
@@ -92,8 +101,21 @@
 	}
 }
 
+// recordUrgency reads the urgency of a job, as a caller does when the job was added or reported as changed.
+func (h *harness) recordUrgency(uid string) {
+	level, dueMs := h.graph.Urgency(uid)
+	h.urgency[uid] = urgency{level: level, dueMs: dueMs}
+}
+
+func (h *harness) updateUrgency() {
+	for _, uid := range h.graph.UpdateUrgency() {
+		h.recordUrgency(uid)
+	}
+}
+
 func (h *harness) add(t *rapid.T, uid string) {
 	h.apply(t, h.graph.Add(uid, h.model.jobs[uid]))
+	h.recordUrgency(uid)
 	if h.graph.Ready(uid) {
 		h.reportedReady[uid] = true
 	}
@@ -192,6 +214,12 @@
 	if wantLevel, wantDueMs := h.model.urgency(uid); level != wantLevel || dueMs != wantDueMs {
 		t.Fatalf("%s has level %d and due time %v, want %d and %v", uid, level, dueMs, wantLevel, wantDueMs)
 	}
+	if reported := h.urgency[uid]; reported != (urgency{level: level, dueMs: dueMs}) {
+		t.Fatalf("%s has level %d and due time %v, but was last reported with %+v", uid, level, dueMs, reported)
+	}
+	if got, want := h.graph.HasOpenDependents(uid), h.model.hasOpenDependents(uid); got != want {
+		t.Fatalf("%s: HasOpenDependents() = %v, want %v", uid, got, want)
+	}
 }
 
 // archiveAll cancels and archives all jobs. The graph must be empty afterwards.
@@ -214,7 +242,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		h := newHarness(t)
 		for step := range rapid.IntRange(5, 60).Draw(t, "steps") {
-			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			switch rapid.IntRange(0, 6).Draw(t, "action") {
 			case 0, 1:
 				h.accept(t, fmt.Sprintf("j%d", step))
 			case 2, 3:
@@ -223,9 +251,12 @@
 				h.archive(t)
 			case 5:
 				h.resolve(t)
+			case 6:
+				h.updateUrgency()
 			}
 		}
 		h.addAndResolveAll(t)
+		h.updateUrgency()
 		for _, uid := range h.model.order {
 			if !h.model.archived[uid] {
 				h.check(t, uid)
@@ -246,6 +277,7 @@
 		g.Add(fmt.Sprintf("fan%d", i), Job{Dependencies: []string{"j0"}, Level: 1, DueMs: math.Inf(1)})
 	}
 	g.Add("last", Job{Dependencies: []string{fmt.Sprintf("j%d", size-1)}, Level: 4, DueMs: 10000, ExpectedRunMs: 1})
+	g.UpdateUrgency()
 	if level, dueMs := g.Urgency("j0"); level != 4 || dueMs != 10000-size {
 		t.Errorf("the first job of the chain has level %d and due time %v, want 4 and %d", level, dueMs, 10000-size)
 	}
@@ -275,8 +307,73 @@
 		for _, uid := range order {
 			g.Add(uid, jobs[uid])
 		}
+		g.UpdateUrgency()
 		if level, dueMs := g.Urgency("first"); level != 3 || dueMs != 50 {
 			t.Errorf("in the order %v the first job has level %d and due time %v, want 3 and 50", order, level, dueMs)
 		}
 	}
 }
+
+// A late event may add a job again whose record was removed, between two updates of the urgency. The jobs that it
+// depends on inherit its urgency again, and it still waits for them.
+func TestJobThatIsAddedAgainPassesUrgencyOn(t *testing.T) {
+	g := New()
+	first := Job{Level: 1, DueMs: math.Inf(1)}
+	middle := Job{Dependencies: []string{"first"}, Level: 1, DueMs: math.Inf(1), ExpectedRunMs: 20}
+	g.Add("first", first)
+	g.Add("middle", middle)
+	g.Add("last", Job{Dependencies: []string{"middle"}, Level: 3, DueMs: 100, ExpectedRunMs: 30})
+	g.Archive("middle")
+	g.UpdateUrgency()
+	if level, dueMs := g.Urgency("first"); level != 1 || !math.IsInf(dueMs, 1) {
+		t.Errorf("after the middle job was removed, the first has level %d and due time %v, want 1 and +Inf", level, dueMs)
+	}
+	g.Add("middle", middle)
+	g.UpdateUrgency()
+	if level, dueMs := g.Urgency("first"); level != 3 || dueMs != 50 {
+		t.Errorf("after the middle job was added again, the first has level %d and due time %v, want 3 and 50", level, dueMs)
+	}
+	if g.Ready("middle") {
+		t.Error("the middle job is ready before the first is done")
+	}
+	if effects := g.Finish("first", Done); !slices.Equal(effects.Ready, []string{"middle"}) {
+		t.Errorf("after the first job is done %v are ready, want the middle one", effects.Ready)
+	}
+}
+
+// Changes of graphs with many paths handle each job and each dependency once. When the due time of a job was passed
+// on along each path, the last job of a pipeline of 501 jobs that each name all earlier ones stopped the leader for
+// minutes, and 45 jobs with estimates that make each path better than the one before took it over its memory.
+func TestGraphsWithManyPathsTakeBoundedTime(t *testing.T) {
+	const limit = 10 * time.Second // work that grows with the number of paths takes minutes to centuries
+	for _, tc := range []struct {
+		name string
+		jobs []namedJob
+	}{
+		{"each names all earlier ones", denseGraph(501)},
+		{"stages of two jobs", stagedGraph(45, 2)},
+		{"10,000 dependencies", randomGraph(2000, 5)},
+	} {
+		for order, jobs := range map[string][]namedJob{"in order": tc.jobs, "reversed": reversed(tc.jobs), "shuffled": shuffled(tc.jobs)} {
+			t.Run(tc.name+" "+order, func(t *testing.T) {
+				began := time.Now()
+				g := New()
+				expectDistinct := func(what string, uids []string) {
+					if distinct := len(slices.Compact(slices.Sorted(slices.Values(uids)))); distinct != len(uids) {
+						t.Fatalf("%d %s jobs are reported for one change, %d of them distinct, want each once", len(uids), what, distinct)
+					}
+				}
+				for _, job := range jobs {
+					g.Add(job.uid, job.Job)
+					expectDistinct("urgent", g.UpdateUrgency())
+				}
+				expectDistinct("ready", g.Finish(tc.jobs[0].uid, Done).Ready)
+				expectDistinct("cancelled", g.Finish(tc.jobs[1].uid, Cancelled).Cancelled)
+				expectDistinct("urgent", g.UpdateUrgency())
+				if took := time.Since(began); took > limit {
+					t.Errorf("%d jobs took %v, want at most %v", len(jobs), took, limit)
+				}
+			})
+		}
+	}
+}
