Start arrays that are bound to one zone in chunks

Cause: isAllOrNothing held for every job with SingleZone and no live attempt. The tasks of an array are independent (PROTOCOL); "an array enters as the chunk that fits now" (DESIGN). Change: arrays are never all-or-nothing. A suspect one is tried with one task, and an overdue one's first task goes first, as other arrays'.

--- a/internal/controller/failures.go
+++ b/internal/controller/failures.go
@@ -100,7 +100,7 @@
 // need not start at the same time. When whole arrays were retried, they took capacity, image fetches
 // and state store writes from other jobs, only to fail again.
 func (j *job) startsWithOneTask() bool {
-	return j.suspect && j.record.Spec.Kind == wire.JobArray && !j.record.Spec.SingleZone
+	return j.suspect && j.record.Spec.Kind == wire.JobArray
 }
 
 // hasTaskPastStartup reports whether a task of the job has run for longer than a worker lease. A task
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -181,6 +181,16 @@
 	return tasks
 }
 
+// hasStarted reports whether a task of the job has been launched before, by this leader or an earlier one.
+func (j *job) hasStarted() bool {
+	for _, p := range j.placements {
+		if p.nextAttempt > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // gangAttempt returns the attempt number that all tasks of a gang share in one start: the number of
 // the tasks that are already placed or, if there are none, a number that no task has used.
 func (j *job) gangAttempt() uint64 {
--- a/internal/controller/job_test.go
+++ b/internal/controller/job_test.go
@@ -88,3 +88,17 @@
 		}
 	})
 }
+
+// A new leader knows from the placement records that a job was started before, even if none of its attempts is live.
+func TestStartedJobIsKnownFromItsRecords(t *testing.T) {
+	for nextAttempt, want := range map[uint64]bool{1: false, 3: true} {
+		j := newJob("run-000001", watchcache.Entry{Job: &records.Job{
+			Spec:              wire.JobSpec{Kind: wire.Service, TaskCount: 2},
+			TasksPerPlacement: 2,
+		}}, time.Unix(0, 0))
+		j.loadPlacement(0, wire.KeyValue{Value: records.Encode(records.Placement{NextAttempt: nextAttempt})})
+		if got := j.hasStarted(); got != want {
+			t.Errorf("with next attempt %d hasStarted() = %v, want %v", nextAttempt, got, want)
+		}
+	}
+}
--- a/internal/controller/snapshot.go
+++ b/internal/controller/snapshot.go
@@ -161,6 +161,7 @@
 		PendingTasks:   pending,
 		LiveAttempts:   j.liveAttempts,
 		LiveByZone:     liveByZone,
+		HasStarted:     j.hasStarted(),
 		WaitedS:        now.Sub(j.waitingSince).Seconds(),
 		StartSlackS:    u.startSlackS(spec),
 		LaxityS:        u.laxityS(j, now),
@@ -182,11 +183,10 @@
 // isOverdueToStart reports whether a job is an array that is large for its class, has been eligible
 // for a long time, and has not run any task. Users expect arrays of any size to begin within four
 // minutes, and large arrays have the most work left once they have begun. Without this rule, only one in
-// nine of the largest arrays began in time when jobs queued for minutes at their team's limit. An array in
-// a single zone starts all its tasks together, so none of them goes first. c.mu is held.
+// nine of the largest arrays began in time when jobs queued for minutes at their team's limit. c.mu is held.
 func (c *Controller) isOverdueToStart(j *job, now time.Time) bool {
 	spec := &j.record.Spec
-	return spec.Kind == wire.JobArray && !spec.SingleZone && !j.hasRun && j.doneTasks == 0 && j.liveAttempts == 0 &&
+	return spec.Kind == wire.JobArray && !j.hasRun && j.doneTasks == 0 && j.liveAttempts == 0 &&
 		now.Sub(time.UnixMilli(j.readySinceMs)) > overdueStartLeases*c.Config.WorkerLease() &&
 		c.arrivals.IsLarge(spec)
 }
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -7,10 +7,11 @@
 	"lotusstile.dev/lotusstile/wire"
 )
 
-// isAllOrNothing reports whether a job must start with all its tasks or not at all. This no longer applies
-// to a job with live attempts: its pending tasks have failed or lost their machines, and restart one by one.
+// isAllOrNothing reports whether a job must start with all its tasks or not at all. The tasks of an array are
+// independent: they start as capacity allows, also if they must all be in one zone. This does not apply to a job with
+// live attempts either: its pending tasks have failed or lost their machines, and restart one by one.
 func isAllOrNothing(job *Job) bool {
-	return (job.Spec.Kind != wire.JobArray || job.Spec.SingleZone) && job.LiveAttempts == 0
+	return job.Spec.Kind != wire.JobArray && job.LiveAttempts == 0
 }
 
 // fitTasks places up to want tasks of a job on capacity that is free at a horizon, and returns how many it
--- a/internal/sched/input.go
+++ b/internal/sched/input.go
@@ -57,6 +57,7 @@
 	PendingTasks     int            // tasks without an attempt that may be placed now
 	LiveAttempts     int            // attempts not known to have ended
 	LiveByZone       map[string]int // LiveAttempts by zone
+	HasStarted       bool           // one of its tasks has been launched before
 	WaitedS          float64        // seconds that it has been waiting
 	FetchDelaysStart bool           // fetching its image may make it start too late
 	StartSlackS      float64        // its target time to start minus the time for image fetch and delivery
