--- a/internal/sched/chunks_test.go
+++ b/internal/sched/chunks_test.go
@@ -39,7 +39,8 @@
 	})
 }
 
-// An array bound to one zone starts as many tasks as fit in a zone. When such an array counted as all-or-nothing, one that had lost three of its four machines
+// An array bound to one zone starts as many tasks as fit in a zone, and a service that has lost all its replicas
+// starts as many as fit. When such an array counted as all-or-nothing, one that had lost three of its four machines
 // was not continued on the fourth, for as long as the cloud had no capacity for all its tasks at once.
 func TestWhatStartsInChunks(t *testing.T) {
 	for _, tc := range []struct {
@@ -54,6 +55,8 @@
 		{"array in one zone that has lost its machines", wire.JobArray, true, true, 3},
 		{"new service", wire.Service, false, false, 0},
 		{"new service in one zone", wire.Service, true, false, 0},
+		{"service that has lost its replicas", wire.Service, false, true, 5},
+		{"service in one zone that has lost its replicas", wire.Service, true, true, 3},
 		{"gang", wire.Gang, false, false, 0},
 		{"gang that has lost its tasks", wire.Gang, false, true, 0},
 	} {
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -9,9 +9,17 @@
 
 // isAllOrNothing reports whether a job must start with all its tasks or not at all. The tasks of an array are
 // independent: they start as capacity allows, also if they must all be in one zone. This does not apply to a job with
-// live attempts either: its pending tasks have failed or lost their machines, and restart one by one.
+// live attempts either: its pending tasks have failed or lost their machines, and restart one by one. Nor does it
+// apply to a service that has been started before, since one replica serves users better than none.
 func isAllOrNothing(job *Job) bool {
-	return job.Spec.Kind != wire.JobArray && job.LiveAttempts == 0
+	switch job.Spec.Kind {
+	case wire.JobArray:
+		return false
+	case wire.Service:
+		return job.LiveAttempts == 0 && !job.HasStarted
+	default:
+		return job.LiveAttempts == 0
+	}
 }
 
 // fitTasks places up to want tasks of a job on capacity that is free at a horizon, and returns how many it
