Give places in the window only to jobs that can start

Cause: the window was the first 200 jobs of the queue, whether they could start or not. Change: a job takes a place if nodes are searched for it. Jobs that their team's limit excludes, and jobs of a shape of which nothing fits in this cycle, take none; further windows take the places left. At most as many shortfalls as places, so that scaling out costs no more. The reservation goes to the same job. The reference cycle has the same window in its plain form.

--- a/internal/sched/chunks_test.go
+++ b/internal/sched/chunks_test.go
@@ -93,10 +93,10 @@
 			for zone := range job.LiveByZone {
 				liveZone = zone
 			}
-			var nodes []Node
-			for i := range rapid.IntRange(1, 5).Draw(t, "machines") {
+			nodes := make([]Node, rapid.IntRange(1, 5).Draw(t, "machines"))
+			for i := range nodes {
 				zone, room := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"), rapid.IntRange(0, 4).Draw(t, "room")
-				nodes = append(nodes, zoneNode(i, zone, float64(room)))
+				nodes[i] = zoneNode(i, zone, float64(room))
 				roomByZone[zone] += room
 			}
 			pending := job.PendingTasks
--- a/internal/sched/classindex.go
+++ b/internal/sched/classindex.go
@@ -30,7 +30,7 @@
 	size    int     // number of nodes in the class, without those that have left
 }
 
-// buildClassIndex puts each node on which the smallest need of the window fits into its class.
+// buildClassIndex puts each node on which the smallest need of a window fits into its class. A reserved node is in no class.
 func (c *cycle) buildClassIndex(smallest fleet.Resources) {
 	c.smallestNeed = smallest
 	scratch := c.scratch
@@ -39,9 +39,10 @@
 	}
 	clear(scratch.classIndex)
 	scratch.classes = scratch.classes[:0]
+	c.openClasses = [horizonCount][]int32{}
 	for slot := range scratch.classID {
 		scratch.classID[slot] = noClass
-		if c.isVacant(slot) {
+		if c.isVacant(slot) || scratch.reserved[slot] {
 			continue
 		}
 		if key := c.classKeyOf(int32(slot)); c.fitsSmallest(&key) {
--- a/internal/sched/cycle.go
+++ b/internal/sched/cycle.go
@@ -32,12 +32,15 @@
 	lowestVictimLevel int
 	sortedVictims     map[int32][]Victim  // by slot, in stop order; only nodes whose victims were needed in order
 	maxFit            map[demandShape]int // upper bound of the tasks that fit, for shapes of which not all wanted tasks fitted
+	unfit             map[unfitShape]struct{}
+	isIndexed         bool // the class index is built
 	current           jobContext
 }
 
 // jobContext holds what a cycle has computed for the job that it is placing.
 type jobContext struct {
 	job              *Job
+	hasSearched      bool // nodes were searched for it: it is not known from jobs of its shape what fits
 	shape            demandShape
 	shapeDecidesFit  bool           // how many of its tasks fit depends only on its shape
 	imageRequired    bool           // use only nodes that have the job's image
@@ -60,28 +63,10 @@
 		c.view.compact()
 	}
 	c.loadNodes()
-	window := slices.Clone(in.Jobs)
-	SortQueue(window, maxYieldFactor*in.ReserveAfterS)
-	if len(window) > in.Window {
-		window = window[:in.Window]
-	}
-	c.plan.JobsConsidered = len(window)
-	if len(window) > 0 {
-		c.buildClassIndex(smallestNeed(window))
-	}
-	// Jobs with GPUs are placed in the first pass, CPU-only jobs in the second, on what is left. A CPU-only
-	// job that has waited long is placed in the first pass, too.
-	inSecondPass := func(job *Job) bool { return job.Spec.Gpus == 0 && job.WaitedS <= in.ReserveAfterS }
-	first := true
-	for pass := range 2 {
-		for _, job := range window {
-			if inSecondPass(job) != (pass == 1) {
-				continue
-			}
-			c.scheduleJob(job, first)
-			first = false
-		}
-	}
+	c.unfit = map[unfitShape]struct{}{}
+	queue := slices.Clone(in.Jobs)
+	SortQueue(queue, maxYieldFactor*in.ReserveAfterS)
+	c.scheduleQueue(queue)
 	c.plan.FreeAfterStops, c.plan.FreeAfterBoot = c.free[afterStops], c.free[afterBoot]
 	return c.plan
 }
@@ -100,15 +85,37 @@
 	return smallest
 }
 
+// indexFor builds the class index for the jobs of a window, unless it was built for an equal or smaller need.
+func (c *cycle) indexFor(window []*Job) {
+	smallest := smallestNeed(window)
+	if c.isIndexed {
+		covered := fleet.Resources{
+			Cores: min(smallest.Cores, c.smallestNeed.Cores),
+			Gpus:  min(smallest.Gpus, c.smallestNeed.Gpus),
+			RAM:   min(smallest.RAM, c.smallestNeed.RAM),
+		}
+		if covered == c.smallestNeed {
+			return
+		}
+		smallest = covered
+	}
+	c.buildClassIndex(smallest)
+	c.isIndexed = true
+}
+
 // scheduleJob starts the tasks of a job that fit now. For the remaining tasks it tries, in this order,
 // capacity that stopping tasks are about to free, preemption, and booting machines; what still does not
-// fit becomes a shortfall. Only the first job of a cycle can get a reservation.
-func (c *cycle) scheduleJob(job *Job, first bool) {
+// fit becomes a shortfall. Only one job of a cycle can get a reservation.
+func (c *cycle) scheduleJob(job *Job, mayReserve bool) {
 	want := c.tasksWithinTeamLimit(job)
 	if want == 0 {
 		return
 	}
 	c.prepareFor(job)
+	if !mayReserve && c.isKnownUnfit(job) {
+		c.addShortfall(job, want)
+		return
+	}
 	remaining := want
 	if job.FetchDelaysStart {
 		// The job would start too late on a machine without its image: machines that have the image are
@@ -130,10 +137,21 @@
 	if remaining -= c.fitTasks(job, remaining, afterBoot, false); remaining == 0 {
 		return // booting machines will run the rest
 	}
-	if first && nothingFits && job.WaitedS > c.input.ReserveAfterS {
+	if mayReserve && nothingFits && job.WaitedS > c.input.ReserveAfterS {
 		c.reserveNodes(job, remaining)
 	}
-	c.plan.Shortfalls = append(c.plan.Shortfalls, Shortfall{Job: job, Count: remaining})
+	if nothingFits && remaining == want {
+		c.recordUnfit(job)
+	}
+	c.addShortfall(job, remaining)
+}
+
+// addShortfall adds a shortfall to the plan, which has at most Input.Window of them: they are for scaling out, whose
+// cost they bound.
+func (c *cycle) addShortfall(job *Job, count int) {
+	if len(c.plan.Shortfalls) < c.input.Window {
+		c.plan.Shortfalls = append(c.plan.Shortfalls, Shortfall{Job: job, Count: count})
+	}
 }
 
 // scheduleOnNodesWithImage places up to remaining tasks on nodes that have the job's image, and returns how
--- a/internal/sched/fitshape.go
+++ b/internal/sched/fitshape.go
@@ -63,11 +63,47 @@
 }
 
 // isKnownNotToFit reports whether the cycle has found out already that no task of this shape fits, or too few
-// for the job if it is all-or-nothing.
+// for the job if it is all-or-nothing. If not, the caller has to search nodes for the job.
 func (c *cycle) isKnownNotToFit(job *Job, shape demandShape) bool {
-	if !c.current.shapeDecidesFit {
+	if c.current.shapeDecidesFit {
+		maxTasks, known := c.maxFit[shape]
+		if known && (maxTasks == 0 || isAllOrNothing(job) && maxTasks < job.PendingTasks) {
+			return true
+		}
+	}
+	c.current.hasSearched = true
+	return false
+}
+
+// unfitShape identifies jobs of which nothing fits at any horizon, nor by preemption. Looking it up takes one look-up
+// for a job that is known not to fit, in place of one for each horizon.
+type unfitShape struct {
+	demandShape
+	wholeTasks int // number of tasks that must fit together, 0 if each may start alone
+}
+
+// unfitShapeOf returns the unfitShape of the current job.
+func (c *cycle) unfitShapeOf(job *Job) unfitShape {
+	shape := unfitShape{demandShape: c.shapeAt(byPreemption)}
+	if isAllOrNothing(job) {
+		shape.wholeTasks = job.PendingTasks
+	}
+	return shape
+}
+
+// recordUnfit records that nothing of the current job fits, if all of that was known from jobs of its shape.
+func (c *cycle) recordUnfit(job *Job) {
+	if !c.current.hasSearched {
+		c.unfit[c.unfitShapeOf(job)] = struct{}{}
+	}
+}
+
+// isKnownUnfit reports whether nothing of the current job fits because nothing of a job of the same shape did. Jobs
+// that look for machines with their image first are tried one by one.
+func (c *cycle) isKnownUnfit(job *Job) bool {
+	if len(c.unfit) == 0 || !c.current.shapeDecidesFit || job.FetchDelaysStart {
 		return false
 	}
-	maxTasks, known := c.maxFit[shape]
-	return known && (maxTasks == 0 || isAllOrNothing(job) && maxTasks < job.PendingTasks)
+	_, known := c.unfit[c.unfitShapeOf(job)]
+	return known
 }
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -28,7 +28,7 @@
 	Preemptions    []Preemption
 	Shortfalls     []Shortfall
 	Objective      float64           // sum of p_j(s_j - c_j) over the jobs that start (see the package comment)
-	JobsConsidered int               // number of jobs in the window
+	JobsConsidered int               // number of jobs that were tried
 	ReservedFor    string            // UID of the job that nodes are reserved for; "" if none
 	FreeAfterStops []fleet.Resources // free on each node after the plan, once the tasks being stopped have ended
 	FreeAfterBoot  []fleet.Resources // free on each node after the plan, once booting machines are up as well
--- a/internal/sched/reference_preempt_test.go
+++ b/internal/sched/reference_preempt_test.go
@@ -25,6 +25,7 @@
 	if maxTasks, known := r.maxFit[shape]; shapeDecidesFit && known && (maxTasks == 0 || isAllOrNothing(j) && maxTasks < j.PendingTasks) {
 		return 0
 	}
+	r.hasSearched = true
 	options := r.preemptionOptions(j, want)
 	placements, chosen := r.chooseLeastDisruptive(j, want, options)
 	if shapeDecidesFit && len(placements) < want {
--- a/internal/sched/reference_test.go
+++ b/internal/sched/reference_test.go
@@ -23,6 +23,7 @@
 	maxFit            map[referenceShape]int // upper bound of the tasks that fit, for shapes of which not all wanted tasks fitted
 	reserved          []bool                 // by node: reserved for the job that has the reservation
 	imageRequired     bool                   // use only nodes that have the job's image
+	hasSearched       bool                   // nodes were searched for the current job
 
 	// Memory that jobs reuse. Without reuse, these lists made up nearly all allocations of a leader with
 	// 2,700 machines.
@@ -49,32 +50,50 @@
 			r.lowestVictimLevel = min(r.lowestVictimLevel, v.Level)
 		}
 	}
-	window := slices.Clone(in.Jobs)
-	SortQueue(window, 4*in.ReserveAfterS)
-	if len(window) > in.Window {
-		window = window[:in.Window]
-	}
-	r.plan.JobsConsidered = len(window)
-	r.buildOpenNodes(window)
-	// Jobs with GPUs are placed in the first pass, CPU-only jobs in the second, on what is left. A CPU-only
-	// job that has waited long is placed in the first pass, too.
-	inSecondPass := func(job *Job) bool { return job.Spec.Gpus == 0 && job.WaitedS <= in.ReserveAfterS }
-	first := true
-	for pass := range 2 {
-		for _, job := range window {
-			if inSecondPass(job) != (pass == 1) {
-				continue
+	queue := slices.Clone(in.Jobs)
+	SortQueue(queue, 4*in.ReserveAfterS)
+	r.scheduleQueue(queue)
+	r.plan.FreeAfterStops, r.plan.FreeAfterBoot = r.free[afterStops], r.free[afterBoot]
+	return r.plan
+}
+
+// scheduleQueue tries the jobs of a queue, window after window, until Input.Window of them had nodes searched for them.
+// Jobs that their team's limit excludes are in no window. Jobs with GPUs are placed in the first pass of a window,
+// CPU-only jobs in the second, on what is left. A CPU-only job that has waited long is placed in the first pass, too.
+func (r *referenceCycle) scheduleQueue(queue []*Job) {
+	inSecondPass := func(job *Job) bool { return job.Spec.Gpus == 0 && job.WaitedS <= r.input.ReserveAfterS }
+	var reservable *Job
+	for _, job := range queue[:min(len(queue), r.input.Window)] {
+		if reservable == nil || inSecondPass(reservable) && !inSecondPass(job) {
+			reservable = job
+		}
+	}
+	for places := r.input.Window; places > 0 && len(queue) > 0; {
+		var window []*Job
+		for ; len(queue) > 0 && len(window) < places; queue = queue[1:] {
+			if r.tasksWithinTeamLimit(queue[0]) > 0 {
+				window = append(window, queue[0])
+			}
+		}
+		r.plan.JobsConsidered += len(window)
+		r.buildOpenNodes(window)
+		for pass := range 2 {
+			for _, job := range window {
+				if inSecondPass(job) != (pass == 1) {
+					continue
+				}
+				r.hasSearched = false
+				r.scheduleJob(job, job == reservable)
+				if r.hasSearched {
+					places--
+				}
 			}
-			r.scheduleJob(job, first)
-			first = false
 		}
 	}
-	r.plan.FreeAfterStops, r.plan.FreeAfterBoot = r.free[afterStops], r.free[afterBoot]
-	return r.plan
 }
 
 // scheduleJob starts the tasks of a job that fit now, and plans for the rest as cycle.scheduleJob does.
-func (r *referenceCycle) scheduleJob(j *Job, first bool) {
+func (r *referenceCycle) scheduleJob(j *Job, mayReserve bool) {
 	want := r.tasksWithinTeamLimit(j)
 	if want == 0 {
 		return
@@ -109,10 +128,12 @@
 	if remaining -= r.fitTasks(j, remaining, afterBoot, false); remaining == 0 {
 		return // booting machines will run the rest
 	}
-	if first && nothingFits && j.WaitedS > r.input.ReserveAfterS {
+	if mayReserve && nothingFits && j.WaitedS > r.input.ReserveAfterS {
 		r.reserveNodes(j, remaining)
 	}
-	r.plan.Shortfalls = append(r.plan.Shortfalls, Shortfall{Job: j, Count: remaining})
+	if len(r.plan.Shortfalls) < r.input.Window {
+		r.plan.Shortfalls = append(r.plan.Shortfalls, Shortfall{Job: j, Count: remaining})
+	}
 }
 
 // tasksWithinTeamLimit returns how many pending tasks of a job may start under the limit of its team. It is 0 for
@@ -154,6 +175,7 @@
 	if maxTasks, known := r.maxFit[shape]; shapeDecidesFit && known && (maxTasks == 0 || isAllOrNothing(j) && maxTasks < j.PendingTasks) {
 		return 0 // the same shape was tried earlier in the cycle and did not fit
 	}
+	r.hasSearched = true
 	var placements []Placement
 	if j.Spec.SingleZone {
 		placements = r.chooseSingleZone(j, want, at)
@@ -399,6 +421,7 @@
 	r.smallestNeed = smallest
 	for at := range r.openNodes {
 		open := &r.openNodes[at]
+		open.nodes = nil
 		open.contains = make([]bool, len(r.input.Nodes))
 		for i := range r.input.Nodes {
 			if r.free[at][i].CountFitting(r.smallestNeed, 1) > 0 {
--- a/internal/sched/victims.go
+++ b/internal/sched/victims.go
@@ -124,6 +124,7 @@
 // after stops and after boot.
 func (c *cycle) releaseCapacity(slot int32, released fleet.Resources) {
 	clear(c.maxFit) // more tasks may fit now than these upper bounds say
+	clear(c.unfit)
 	c.free[afterStops][slot] = c.free[afterStops][slot].Add(released)
 	c.free[afterBoot][slot] = c.free[afterBoot][slot].Add(released)
 	c.reclassify(slot)
