End the term of a leader whose work makes no progress

Cause: the renewal of the lease depended on nothing but the election's own goroutine. Change: the controller counts progress (both locks can be had, cycles begin when due); after three leader leases without, and four renewals, the leader ends its term and revokes its lease, if two peers are healthy. Each stalled term doubles the bound. The node forgets the controller when its term ends, so that pings don't wait for the stuck lock; pings say that it is stalled (a new field; older nodes ignore it).

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -14,6 +14,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lotusstile.dev/lotusstile/internal/autoscaler"
@@ -40,6 +41,7 @@
 	releaseWake   chan struct{} // there is a machine to release
 	resolveWake   chan struct{} // a job depends on one whose final status is not known yet
 	writer        *placementWriter
+	progress      atomic.Uint64 // see Progress
 
 	mu sync.Mutex
 
@@ -55,10 +57,11 @@
 	faultEvidence         *faultattribution.Evidence // which jobs and machines have failed attempts
 	singleJobCommitsUntil time.Time                  // until then a batch holds records of one job only
 
-	// Scheduling cycles: cycle.go, nodecache.go.
+	// Scheduling cycles: cycle.go, nodecache.go, progress.go.
 	window      int // how many jobs a cycle considers
 	lastCycle   wire.CycleStatus
 	lastCycleAt time.Time
+	cycleDue    time.Time // when the next cycle is due; zero until the first one is awaited
 	nodes       nodeCache
 
 	// Scale out: scaleout.go, headroom.go, machinelist.go.
@@ -132,10 +135,12 @@
 	c.mu.Unlock()
 	c.JobCache.SetListener(c.applyJobEvent)
 	defer c.JobCache.SetListener(nil)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { c.monitorProgress(ctx) })
 	if !c.loadStateWithRetries(ctx) {
 		return
 	}
-	var wg sync.WaitGroup
 	for _, run := range []func(context.Context){
 		c.writer.run,
 		c.runCycles,
@@ -148,7 +153,6 @@
 	} {
 		wg.Go(func() { run(ctx) })
 	}
-	wg.Wait()
 }
 
 // loadStateWithRetries loads the state and retries until that succeeds. It returns false if ctx ends first.
--- a/internal/controller/cycle.go
+++ b/internal/controller/cycle.go
@@ -26,6 +26,7 @@
 	defer provisioning.Wait()
 	for {
 		interval := time.Duration(c.Settings().IntervalS * float64(time.Second))
+		c.expectCycle(interval)
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -9,6 +9,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lotusstile.dev/lotusstile/internal/timeralign"
@@ -82,6 +83,11 @@
 	// TransferWanted reports whether this node should transfer the leadership because a better placed node is
 	// healthy; nil means never.
 	TransferWanted func() bool
+	// Progress returns a number that changes as long as the work of the term that this node leads goes forward; nil
+	// means that it always does.
+	Progress func() uint64
+	// MayYield reports whether other nodes can take over from this node if its work has stalled; nil means always.
+	MayYield func() bool
 }
 
 // Elector runs the election at one node. It is safe for concurrent use; Run must be called only once.
@@ -95,6 +101,8 @@
 	ownTerm         uint64             // the term that this node leads, or the last one that it led
 	endTerm         context.CancelFunc // ends ownTerm; nil if this node does not lead
 	leaderlessSince time.Time          // see LeaderlessSince
+	stalled         bool               // see Stalled
+	stalledTerms    int                // number of stalled terms of this node, one soon after another
 	viewChanged     chan struct{}      // wakes Run when the view may have changed
 }
 
@@ -109,6 +117,13 @@
 	if options.TransferWanted == nil {
 		options.TransferWanted = func() bool { return false }
 	}
+	if options.Progress == nil {
+		var calls atomic.Uint64
+		options.Progress = func() uint64 { return calls.Add(1) }
+	}
+	if options.MayYield == nil {
+		options.MayYield = func() bool { return true }
+	}
 	return &Elector{Options: options, viewChanged: make(chan struct{}, 1)}
 }
 
--- a/internal/election/lease.go
+++ b/internal/election/lease.go
@@ -32,12 +32,21 @@
 		defer close(done)
 		e.Lead(termCtx, term)
 	}()
-	if transfer := e.keepLease(termCtx, term, leaseID, endTerm); transfer {
+	began := time.Now()
+	switch e.keepLease(termCtx, term, leaseID, endTerm) {
+	case transferred:
+		slog.Info("transferring the leadership to a better placed node", "term", term)
 		endTerm()
-		e.revokeForTransfer(ctx, term, leaseID)
+		e.revokeLease(ctx, term, leaseID)
+	case stalled:
+		e.recordStall(term, time.Since(began))
+		endTerm()
+		e.revokeLease(ctx, term, leaseID)
+	case termOver:
 	}
 	e.finishTerm(term)
 	<-done
+	e.endStall()
 	e.notifyViewChanged()
 }
 
@@ -65,11 +74,21 @@
 	e.setState(Following, "term ended")
 }
 
-// keepLease renews the lease of a term until the term ends or the leadership should be transferred. In the second case
-// it returns true, and the caller must end the term. If the state store reports that the lease has ended, keepLease
-// calls endTerm.
-func (e *Elector) keepLease(termCtx context.Context, term, leaseID uint64, endTerm context.CancelFunc) (transfer bool) {
+// leaseOutcome is the reason why a lease is no longer renewed.
+type leaseOutcome int
+
+// The reasons. Unless the term is over, the caller of keepLease must end it.
+const (
+	termOver    leaseOutcome = iota
+	transferred              // the leadership should be transferred to a better placed node
+	stalled                  // the work of the term makes no progress
+)
+
+// keepLease renews the lease of a term until the term ends, the leadership should be transferred, or the term has
+// stalled. If the state store reports that the lease has ended, keepLease calls endTerm.
+func (e *Elector) keepLease(termCtx context.Context, term, leaseID uint64, endTerm context.CancelFunc) leaseOutcome {
 	lastRenewed := time.Now() // when the latest successful renewal began
+	stall := newStallDetector(e.Progress(), lastRenewed, e.stallBound())
 	wait := e.Timers.UntilNext(lastRenewed, e.LeaseTTL/renewalsPerTTL)
 	for termCtx.Err() == nil && timeralign.Sleep(termCtx, wait) {
 		attemptedAt := time.Now()
@@ -89,11 +108,14 @@
 		if time.Since(lastRenewed) > e.LeaseTTL {
 			e.transition(LeadingUnconfirmed, "lease not renewed")
 		}
-		if err == nil && e.TransferWanted() {
-			return true
+		switch {
+		case stall.isStalled(e.Progress(), time.Now()) && e.MayYield():
+			return stalled
+		case err == nil && e.TransferWanted():
+			return transferred
 		}
 	}
-	return false
+	return termOver
 }
 
 // renewLease makes one attempt to renew the lease of this node's term.
--- a/internal/node/leadership.go
+++ b/internal/node/leadership.go
@@ -58,3 +58,26 @@
 	_, answered := p.LastPing(maxAge)
 	return answered
 }
+
+// leaderProgress returns the progress of the term that this node leads. It does not change while there is none.
+func (l *leadership) leaderProgress() uint64 {
+	if c := l.controller(); c != nil {
+		return c.Progress()
+	}
+	return 0
+}
+
+// minHealthyPeers is the number of healthy peers with which a leader whose work has stalled gives up its term: one to
+// lead, and one to renew the workers' leases if the new leader stalls for the same cause.
+const minHealthyPeers = 2
+
+// othersCanTakeOver reports whether enough peers are healthy for this node to give up a stalled term.
+func (l *leadership) othersCanTakeOver() bool {
+	healthy := 0
+	for _, p := range l.peers {
+		if last, ok := p.LastPing(l.cfg.LeaderLeaseTTL()); ok && last.Serving && !last.Stalled {
+			healthy++
+		}
+	}
+	return healthy >= minHealthyPeers
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -97,6 +97,8 @@
 		CampaignDelaySteps: campaign.ownDelaySteps,
 		DeferToStandby:     n.standby.peerIsPreferred,
 		TransferWanted:     campaign.shouldTransfer,
+		Progress:           n.leaderProgress,
+		MayYield:           n.othersCanTakeOver,
 	})
 	n.renewals = &leaseRenewals{leadership: n.leadership, store: n.store, isServing: n.isServing, renewedAt: map[string]time.Time{}}
 	n.heartbeats = &heartbeatHandler{
@@ -253,7 +255,11 @@
 	defer n.standby.endTerm()
 	c := controller.New(options, term)
 	n.ownController.Store(c)
+	// Once the term has ended this node follows, also while work of the term is stuck: a worker's heartbeat or a
+	// peer's ping must not wait for the lock of that work.
+	stopForgetting := context.AfterFunc(ctx, func() { n.ownController.CompareAndSwap(c, nil) })
 	defer n.ownController.Store(nil)
+	defer stopForgetting()
 	n.relay.beginTerm(ctx, term, n.heartbeats.answerBatched)
 	defer n.relay.endTerm()
 	c.Run(ctx)
--- a/internal/node/pinging.go
+++ b/internal/node/pinging.go
@@ -44,6 +44,7 @@
 		Version:      int(clusterversion.Latest),
 		CanRelay:     n.cfg.RelayHeartbeats,
 		CanFollow:    n.cfg.WarmStandby,
+		Stalled:      n.elector.Stalled(),
 	}
 	if c := n.controller(); c != nil {
 		result.Leading, result.Term = true, c.Term()
--- a/internal/peer/compatibility_test.go
+++ b/internal/peer/compatibility_test.go
@@ -226,6 +226,7 @@
 	WantsRelays:    true,
 	CanFollow:      true,
 	Standby:        "n1",
+	Stalled:        true,
 }
 
 var fullCancellation = Cancellation{
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -34,6 +34,7 @@
 	Relaying       bool // PingResult.WantsRelays
 	Follows        bool // PingResult.CanFollow
 	Standby        string
+	Stalled        bool
 }
 
 func (r PingResult) message() PingReply {
@@ -50,6 +51,7 @@
 		Relaying:       r.WantsRelays,
 		Follows:        r.CanFollow,
 		Standby:        r.Standby,
+		Stalled:        r.Stalled,
 	}
 }
 
@@ -67,6 +69,7 @@
 		WantsRelays:    m.Relaying,
 		CanFollow:      m.Follows,
 		Standby:        m.Standby,
+		Stalled:        m.Stalled,
 	}
 }
 
--- a/internal/peer/types.go
+++ b/internal/peer/types.go
@@ -23,6 +23,7 @@
 	WantsRelays    bool   // the controller leads, and wants its followers to relay heartbeats
 	CanFollow      bool   // the controller can be the leader's warm standby
 	Standby        string // label of the node that the leader has chosen as its warm standby; "": none
+	Stalled        bool   // the controller's last term has ended because it made no progress, and its work is still stuck
 }
 
 // Cancellation is the committed cancellation of a job.
