Bound the writes of calls between controllers in time

Seen by callers: a controller whose peer accepts connections and reads nothing hung in its call, whatever the call's timeout, once the socket's buffer was full; all further calls to that peer hung with it. Cause: net/rpc writes a call under the client's lock before connection.call starts to wait; no write had a deadline. Change: each write has a deadline of the call's timeout; after an error the connection is closed, as before. Test, failing before: TestPeerThatReadsNothingBlocksNoCaller ("a call with a timeout of 50ms has not returned after 10s").

--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", p.Label, err)
 	}
-	client = rpc.NewClient(conn)
+	client = rpc.NewClient(writeDeadlineConn{conn, p.timeout})
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.client != nil { // a concurrent call has connected first
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -44,3 +44,34 @@
 		t.Error("ServingFor is positive, want 0")
 	}
 }
+
+// A peer that accepts a connection and reads nothing, for example since its process is paused, must not block its
+// callers once the socket's buffer is full: each call ends within the timeout.
+func TestPeerThatReadsNothingBlocksNoCaller(t *testing.T) {
+	dial := func(string, time.Duration) (net.Conn, error) {
+		clientConn, serverConn := net.Pipe() // has no buffer
+		t.Cleanup(func() { _ = serverConn.Close() })
+		return clientConn, nil
+	}
+	const timeout, limit = 50 * time.Millisecond, 10 * time.Second
+	p := NewPeers(&config.Config{Members: []config.Member{{Label: "paused"}}}, timeout, dial)[0]
+	defer p.Close()
+	const callers = 4
+	errs := make(chan error, callers)
+	for range callers {
+		go func() {
+			_, err := p.Ping(PingArgs{From: "caller"})
+			errs <- err
+		}()
+	}
+	for range callers {
+		select {
+		case err := <-errs:
+			if err == nil {
+				t.Error("a call to a peer that reads nothing returned no error")
+			}
+		case <-time.After(limit):
+			t.Fatalf("a call with a timeout of %s has not returned after %s", timeout, limit)
+		}
+	}
+}
