Keep the known leader when a term begins under a newer one

Seen by operators: a node that won an election after it had learned of a newer term named itself as the leader of that newer term, to itself and to its workers' redirects, until the next event. Cause: beginTerm set the view's leader to the node, whatever the view's term. Change: then the term ends at once, as before, and the view stays. Test, failing before: TestTermThatBeginsUnderANewerOneLeavesTheView (got Leader a Term 9, want b). Result: tests of the package pass.

--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -81,3 +81,17 @@
 		}
 	})
 }
+
+// A node that wins an election after it has learned of a newer term must not take itself for the leader of that term:
+// its term ends at once, and its view keeps what it knows of the newer one.
+func TestTermThatBeginsUnderANewerOneLeavesTheView(t *testing.T) {
+	for _, leader := range []string{"", "b"} {
+		e := New(Options{Node: "a", LeaseTTL: 1, Lead: func(context.Context, uint64) {}})
+		e.ObserveTerm(9, leader)
+		want, ended := e.View(), false
+		e.beginTerm(7, func() { ended = true })
+		if got := e.View(); got != want || !ended {
+			t.Errorf("after term 7 began the view is %+v, term ended: %v; want %+v, true", got, ended, want)
+		}
+	}
+}
--- a/internal/election/lease.go
+++ b/internal/election/lease.go
@@ -51,14 +51,15 @@
 }
 
 // beginTerm records that this node leads a term, and the function that ends the term. If this node has already observed
-// a newer term, beginTerm ends the term at once.
+// a newer term, beginTerm ends the term at once, and the view keeps the leader of the newer one.
 func (e *Elector) beginTerm(term uint64, endTerm context.CancelFunc) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.ownTerm, e.endTerm = term, endTerm
-	e.view.Term, e.view.Leader, e.view.ConfirmedTerm = max(term, e.view.Term), e.Node, max(term, e.view.ConfirmedTerm)
 	if e.view.Term > term {
 		endTerm()
+	} else {
+		e.view.Term, e.view.Leader, e.view.ConfirmedTerm = term, e.Node, max(term, e.view.ConfirmedTerm)
 	}
 	e.setState(Leading, "elected")
 }
