Revoke the announcement of a version when the node stops

Seen by operators: the record that announces a node's version stayed until its lease ended, although the next process on the node may be of an older release, for which the leader then took it for newer. Cause: the lease was revoked with the context whose end stops the announcement. Change: it is revoked without that context, within a quarter of its time to live. Test, failing before: TestAnnouncementIsRevokedWhenTheNodeStops (revoked leases [], want one).

--- a/internal/clusterversion/announcement.go
+++ b/internal/clusterversion/announcement.go
@@ -47,7 +47,8 @@
 }
 
 // announceOnLease writes an announcement that is attached to a lease, and renews the lease until the version
-// is in force, ctx ends or a renewal fails. Unless a request fails, it revokes the lease at the end.
+// is in force, ctx ends or a renewal fails. Unless a request fails before ctx has ended, it revokes the lease at the
+// end: within a quarter of ttl, so that a node that stops does not wait for an unreachable state store.
 func (t *Tracker) announceOnLease(ctx context.Context, leases LeaseStore, node string, leaseID uint64, ttl time.Duration) error {
 	record := records.Encode(records.ClusterVersion{Version: int(Latest)})
 	_, err := leases.Commit(ctx, wire.Transaction{
@@ -56,10 +57,12 @@
 	for err == nil && t.notInForceAfter(ctx, ttl/renewalsPerTTL) {
 		err = leases.RenewLease(ctx, leaseID)
 	}
-	if err != nil {
+	if err != nil && ctx.Err() == nil {
 		return err
 	}
-	return leases.RevokeLease(ctx, leaseID)
+	revokeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ttl/renewalsPerTTL)
+	defer cancel()
+	return leases.RevokeLease(revokeCtx, leaseID)
 }
 
 // notInForceAfter waits for d, and then reports whether the latest version is still not in force. It
--- a/internal/clusterversion/clusterversion_test.go
+++ b/internal/clusterversion/clusterversion_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"lotusstile.dev/lotusstile/internal/records"
 	"lotusstile.dev/lotusstile/wire"
@@ -72,3 +74,45 @@
 		}
 	}
 }
+
+// leaseStore grants leases, and revokes them unless the context has ended.
+type leaseStore struct {
+	fakeStore
+	revoked []uint64
+}
+
+func (*leaseStore) GrantLease(context.Context, time.Duration) (uint64, error) { return 7, nil }
+
+func (*leaseStore) RenewLease(ctx context.Context, _ uint64) error { return ctx.Err() }
+
+func (s *leaseStore) RevokeLease(ctx context.Context, leaseID uint64) error {
+	if ctx.Err() == nil {
+		s.revoked = append(s.revoked, leaseID)
+	}
+	return ctx.Err()
+}
+
+// A node that stops withdraws its announcement: otherwise the record would say until its lease ends that the node
+// understands the version, although the next process there may be of an older release.
+func TestAnnouncementIsRevokedWhenTheNodeStops(t *testing.T) {
+	const ttl = 4 * time.Second
+	for name, runFor := range map[string]time.Duration{"between renewals": 3*ttl + ttl/8, "at a renewal": 3 * ttl} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				leases := &leaseStore{}
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					NewTracker().Announce(ctx, leases, "n0", ttl)
+				}()
+				time.Sleep(runFor)
+				cancel()
+				<-done
+				if len(leases.commits) == 0 || len(leases.revoked) != 1 {
+					t.Errorf("%d announcements, revoked leases %v; want one revoked lease", len(leases.commits), leases.revoked)
+				}
+			})
+		})
+	}
+}
