Order machines of the cloud's list by their numbers

Cause: names were compared as text, and a longer one was newer whatever the other way round. Change: names with the same prefix are compared by the number that they end in; others as before.

--- a/internal/cloud/list.go
+++ b/internal/cloud/list.go
@@ -1,11 +1,13 @@
 package cloud
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"lotusstile.dev/lotusstile/wire"
@@ -97,8 +99,24 @@
 	return nil
 }
 
-// isCreatedAfter reports whether the later machine was created after the earlier one. It compares their
-// names: they end in an increasing number, so a longer name is also newer.
+// isCreatedAfter reports whether the later machine was created after the earlier one, by their names. Names with the
+// same prefix end in an increasing number, which need not have the same number of digits. Other names are taken to be
+// in order if they are sorted or become longer.
 func isCreatedAfter(earlier, later string) bool {
+	earlierPrefix, earlierNumber := splitName(earlier)
+	laterPrefix, laterNumber := splitName(later)
+	if earlierPrefix == laterPrefix && earlierNumber != "" && laterNumber != "" {
+		return cmp.Or(cmp.Compare(len(earlierNumber), len(laterNumber)), cmp.Compare(earlierNumber, laterNumber)) < 0
+	}
 	return earlier < later || len(earlier) < len(later)
 }
+
+// splitName splits a machine's name into a prefix and the digits of the number that it ends in, without leading zeros.
+func splitName(name string) (prefix, number string) {
+	prefix = strings.TrimRight(name, "0123456789")
+	number = name[len(prefix):]
+	if trimmed := strings.TrimLeft(number, "0"); trimmed != "" || number == "" {
+		return prefix, trimmed
+	}
+	return prefix, "0"
+}
--- a/internal/cloud/list_test.go
+++ b/internal/cloud/list_test.go
@@ -131,3 +131,29 @@
 		}
 	}
 }
+
+// Machines are in order of their numbers, also where those get another digit: a page that goes back from m-1000 to
+// m-999 was taken for one that goes on, and its machines stood in the list twice.
+func TestMachineNamesAreOrderedByTheirNumbers(t *testing.T) {
+	for _, tc := range []struct {
+		earlier, later string
+		want           bool
+	}{
+		{"", "m-000000", true},
+		{"m-000000", "m-000001", true},
+		{"m-000001", "m-000000", false},
+		{"m-000001", "m-000001", false},
+		{"m-999", "m-1000", true},
+		{"m-1000", "m-999", false},
+		{"m-999999", "m-1000000", true},
+		{"m-1000000", "m-999999", false},
+		{"m-0999", "m-1000", true},
+		{"m-1000", "m-0999", false},
+		{"a-9", "b-1", true},
+		{"host", "hosts", true},
+	} {
+		if got := isCreatedAfter(tc.earlier, tc.later); got != tc.want {
+			t.Errorf("%q is created after %q: %v, want %v", tc.later, tc.earlier, got, tc.want)
+		}
+	}
+}
