Check waiting of arrays in one zone, memory and CPU limits in simulations

Change: arrays with SingleZone count, for machines in the zone of their tasks; memory and CPU limits count. Narrower only where a machine has no memory left or a team is at its CPU limit: such a wait is allowed. Test: TestArrayInOneZoneGoesOnWithTheMachineThatIsLeft; with the rule of before in isAllOrNothing, under a new leader: "queued with 2 tasks done", left_waiting three times; under the same leader it held before too, since attempts on the lost machines were live until tasks had ended.

--- a/internal/simcluster/checker_service.go
+++ b/internal/simcluster/checker_service.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"lotusstile.dev/lotusstile/internal/config"
 	"lotusstile.dev/lotusstile/wire"
 )
 
@@ -93,36 +94,60 @@
 // subtracted what the tasks use.
 type machineLoad struct {
 	Machine
-	freeCores, freeGpus float64
-	tasks               []string
+	freeCores, freeGpus, freeRAMGb float64
+	tasks                          []string
 }
 
 // canRun reports whether the specification of a job allows the machine, and one of the job's tasks fits
 // into the free amounts.
 func (l *machineLoad) canRun(spec *wire.JobSpec) bool {
-	return l.freeCores >= spec.Cores && l.freeGpus >= spec.Gpus &&
+	return l.freeCores >= spec.Cores && l.freeGpus >= spec.Gpus && l.freeRAMGb >= spec.RAMGb &&
 		(len(spec.MachineTypes) == 0 || slices.Contains(spec.MachineTypes, l.MachineType)) &&
 		(spec.Zone == "" || spec.Zone == l.Zone) && (spec.AllowSpot || !l.Spot)
 }
 
+// usage is what tasks use: of a job by zone, and of a team in all.
+type usage struct {
+	tasksByZone map[string]map[string]int // by job and zone
+	cores, gpus map[string]float64        // by team
+}
+
+// isUnderLimit reports whether a team may run another task of a job.
+func (u *usage) isUnderLimit(team *config.Team, spec *wire.JobSpec) bool {
+	return (team.GpusMax == 0 || u.gpus[team.Name]+spec.Gpus <= team.GpusMax) &&
+		(team.CpusMax == 0 || u.cores[team.Name]+spec.Cores <= team.CpusMax)
+}
+
+// placed returns how many tasks of a job are on machines.
+func (u *usage) placed(uid string) (tasks int) {
+	for _, count := range u.tasksByZone[uid] {
+		tasks += count
+	}
+	return tasks
+}
+
+// mayUseZone reports whether a job that must keep to one zone may have another task in a zone.
+func (u *usage) mayUseZone(uid string, spec *wire.JobSpec, zone string) bool {
+	return !spec.SingleZone || u.placed(uid) == u.tasksByZone[uid][zone]
+}
+
 // checkWaitingJobs checks that no job waits for longer than maxWait although one of the machines with the
-// given loads has free capacity for it. Jobs of the faulty class, and jobs that must keep to one zone or
-// spread over zones, may wait.
+// given loads has free capacity for it. Jobs of the faulty class, services that must keep to one zone, and jobs
+// that must spread over zones may wait.
 func (c *Checker) checkWaitingJobs(loads []machineLoad, faultyClass string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	placed, teamGpus := c.subtractTasks(loads)
+	used := c.subtractTasks(loads)
 	now := time.Now()
 	for uid, job := range c.jobs {
 		spec := &job.spec
 		team, _ := c.config.Team(spec.Team)
 		mayWait := job.acceptedAt.IsZero() || job.finalStatus != "" || job.cancelRequested ||
-			spec.SingleZone || spec.SpreadZones || spec.JobClass == faultyClass
-		hasCapacity := slices.ContainsFunc(loads, func(l machineLoad) bool { return l.canRun(spec) })
-		isUnderLimit := team.GpusMax == 0 || teamGpus[spec.Team]+spec.Gpus <= team.GpusMax
-		isIncomplete := len(job.completedTasks)+placed[uid] < spec.TaskCount
+			spec.SingleZone && spec.Kind != wire.JobArray || spec.SpreadZones || spec.JobClass == faultyClass
+		hasCapacity := slices.ContainsFunc(loads, func(l machineLoad) bool { return l.canRun(spec) && used.mayUseZone(uid, spec, l.Zone) })
+		isIncomplete := len(job.completedTasks)+used.placed(uid) < spec.TaskCount
 		switch {
-		case mayWait || !isIncomplete || !hasCapacity || !isUnderLimit:
+		case mayWait || !isIncomplete || !hasCapacity || !used.isUnderLimit(&team, spec):
 			job.waitingSince = time.Time{}
 		case job.waitingSince.IsZero():
 			job.waitingSince = now
@@ -133,19 +158,24 @@
 	}
 }
 
-// subtractTasks subtracts what tasks use from the free amounts of their machines. It returns how many
-// tasks of each job are placed and how many GPUs each team uses. c.mu is held.
-func (c *Checker) subtractTasks(loads []machineLoad) (placed map[string]int, teamGpus map[string]float64) {
-	placed, teamGpus = map[string]int{}, map[string]float64{}
+// subtractTasks subtracts what tasks use from the free amounts of their machines, and returns what they use. c.mu is
+// held.
+func (c *Checker) subtractTasks(loads []machineLoad) *usage {
+	used := &usage{tasksByZone: map[string]map[string]int{}, cores: map[string]float64{}, gpus: map[string]float64{}}
 	for i := range loads {
 		for _, task := range loads[i].tasks {
 			uid, _, _ := wire.SplitTaskName(task)
 			spec := &c.job(uid).spec
-			placed[uid]++
-			teamGpus[spec.Team] += spec.Gpus
+			if used.tasksByZone[uid] == nil {
+				used.tasksByZone[uid] = map[string]int{}
+			}
+			used.tasksByZone[uid][loads[i].Zone]++
+			used.cores[spec.Team] += spec.Cores
+			used.gpus[spec.Team] += spec.Gpus
 			loads[i].freeCores -= spec.Cores
 			loads[i].freeGpus -= spec.Gpus
+			loads[i].freeRAMGb -= spec.RAMGb
 		}
 	}
-	return placed, teamGpus
+	return used
 }
--- a/internal/simcluster/worker.go
+++ b/internal/simcluster/worker.go
@@ -145,7 +145,7 @@
 	}
 	load = machineLoad{Machine: w.Machine}
 	if machineType, ok := w.cluster.Cloud.machineTypeOf(w.MachineType); ok {
-		load.freeCores, load.freeGpus = machineType.Cores, machineType.Gpus
+		load.freeCores, load.freeGpus, load.freeRAMGb = machineType.Cores, machineType.Gpus, machineType.RAMGb
 	}
 	for key, task := range w.tasks {
 		if task.status != wire.TaskEnded {
