Remove what a follower keeps of machines that are gone

Seen by operators: a follower's memory grew with each machine that it had ever relayed or redirected. Cause: relayHistories was never shrunk. Change: histories that no longer affect a decision are removed, at most once a worker lease. Beside it: capacity.Unbounded, which nothing used, is gone.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"slices"
 	"time"
 
@@ -22,9 +21,6 @@
 	ExceededEffect string // what happens to a larger fleet
 }
 
-// Unbounded is the size of a fleet without a limit.
-const Unbounded = math.MaxInt
-
 const (
 	// The cloud's machine list can show that machines are gone only up to a certain age: maxListAgeLags
 	// times its usual lag, plus a worker lease.
--- a/internal/node/heartbeats.go
+++ b/internal/node/heartbeats.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -28,6 +29,7 @@
 
 	mu             sync.Mutex
 	relayHistories map[string]relayHistory // by machine; used by shouldRelaySingly
+	historiesAged  time.Time               // when expired relayHistories were last removed
 }
 
 // origin is the path on which a heartbeat reached this node.
@@ -193,6 +195,25 @@
 	relayUntil   time.Time // end of the relaying that began when the machine came back after a redirect
 }
 
+// relayLeases is for how many worker leases the heartbeats of a machine are relayed that comes back after a redirect.
+const relayLeases = 3
+
+// isExpired reports whether a history no longer affects any decision.
+func (r *relayHistory) isExpired(now time.Time, lease time.Duration) bool {
+	return now.After(r.relayUntil) && now.Sub(r.redirectedAt) >= lease && now.Sub(r.relayedAt) >= lease
+}
+
+// removeExpiredHistories removes the histories that no longer affect any decision, at most once a worker lease, so
+// that machines that are gone take no memory. The caller holds h.mu.
+func (h *heartbeatHandler) removeExpiredHistories(now time.Time) {
+	lease := h.cfg.WorkerLease()
+	if now.Sub(h.historiesAged) < lease {
+		return
+	}
+	h.historiesAged = now
+	maps.DeleteFunc(h.relayHistories, func(_ string, r relayHistory) bool { return r.isExpired(now, lease) })
+}
+
 // shouldRelaySingly decides whether a machine's heartbeat is relayed to the leader (true) or the machine is
 // redirected to the leader (false), and records the decision. The first heartbeat is relayed: the machine may
 // have spent seconds of its lease on a leader that it cannot reach, and a redirect would cost it as many
@@ -202,12 +223,13 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now, lease := time.Now(), h.cfg.WorkerLease()
+	h.removeExpiredHistories(now)
 	history := h.relayHistories[host]
 	switch {
 	case now.Before(history.relayUntil):
 		return true
 	case now.Sub(history.redirectedAt) < lease:
-		history.relayUntil = now.Add(3 * lease)
+		history.relayUntil = now.Add(relayLeases * lease)
 	case now.Sub(history.relayedAt) < lease:
 		history = relayHistory{redirectedAt: now}
 	default:
--- a/internal/node/heartbeats_test.go
+++ b/internal/node/heartbeats_test.go
@@ -84,3 +84,23 @@
 		}
 	})
 }
+
+// A follower keeps nothing of machines whose heartbeats it relayed or redirected long ago: in a fleet whose machines
+// come and go the map grew for as long as the process lived.
+func TestRelayHistoriesOfGoneMachinesAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := testConfig(100, 100)
+		state := fixedStatus(http.StatusOK)
+		h := New(cfg, Network{State: &state}).heartbeats
+		const machines = 100
+		for round := range 20 {
+			for i := range machines {
+				h.shouldRelaySingly(fmt.Sprintf("m-%d-%d", round, i))
+			}
+			time.Sleep(2 * cfg.WorkerLease())
+		}
+		if got := len(h.relayHistories); got > 2*machines {
+			t.Errorf("%d histories are kept, want at most %d, those of the last two rounds", got, 2*machines)
+		}
+	})
+}
