--- a/internal/election/fakes_test.go
+++ b/internal/election/fakes_test.go
@@ -111,3 +111,17 @@
 	}
 	return count
 }
+
+// counts returns how many leases were granted and how many were revoked.
+func (s *fakeStore) counts() (granted, revoked int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int(s.leases), len(s.revoked)
+}
+
+// removeLeader removes the leader's key, as the store does when the key's lease ends.
+func (s *fakeStore) removeLeader() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leader = nil
+}
--- a/internal/election/stall_test.go
+++ b/internal/election/stall_test.go
@@ -39,16 +39,14 @@
 		}
 		work.stuck.Store(true)
 		time.Sleep((stallTTLs + 1) * leaseTTL)
-		if len(fake.revoked) != 1 || elector.State() != Following || !elector.Stalled() {
-			t.Fatalf("revoked leases %v, state %s, stalled %v, want one, following, true", fake.revoked, elector.State(), elector.Stalled())
+		granted, revoked := fake.counts()
+		if revoked != 1 || elector.State() != Following || !elector.Stalled() {
+			t.Fatalf("%d leases revoked, state %s, stalled %v, want 1, following, true", revoked, elector.State(), elector.Stalled())
 		}
-		fake.mu.Lock()
-		fake.leader = nil // the store removes the key with its lease
-		granted := fake.leases
-		fake.mu.Unlock()
+		fake.removeLeader()
 		time.Sleep(20 * leaseTTL)
-		if fake.leases != granted {
-			t.Errorf("%d leases were granted while the work was stuck, want none", fake.leases-granted)
+		if now, _ := fake.counts(); now != granted {
+			t.Errorf("%d leases were granted while the work was stuck, want none", now-granted)
 		}
 		work.stuck.Store(false)
 		time.Sleep(leaseTTL)
@@ -84,8 +82,8 @@
 						<-ctx.Done()
 					}})
 				time.Sleep(100 * leaseTTL)
-				if len(fake.revoked) > 0 || elector.State() == Following {
-					t.Errorf("revoked leases %v, state %s, want none and a leader", fake.revoked, elector.State())
+				if _, revoked := fake.counts(); revoked > 0 || elector.State() == Following {
+					t.Errorf("%d leases revoked, state %s, want none and a leader", revoked, elector.State())
 				}
 			})
 		})
