--- a/internal/jobdag/graphs_test.go
+++ b/internal/jobdag/graphs_test.go
@@ -107,32 +107,26 @@
 
 func BenchmarkAddTo30StagesOfTwo(b *testing.B) { benchmarkLastAdd(b, stagedGraph(30, 2)) }
 
-// BenchmarkCancelDenseGraphOf500 measures the cancellation of the first job, which cancels all others.
-func BenchmarkCancelDenseGraphOf500(b *testing.B) {
-	jobs := denseGraph(500)
+// benchmarkFinishFirst measures the event that the first of the jobs is done or cancelled.
+func benchmarkFinishFirst(b *testing.B, jobs []namedJob, state State) {
+	b.Helper()
 	b.ReportAllocs()
 	for b.Loop() {
 		b.StopTimer()
 		g := load(jobs)
 		b.StartTimer()
-		g.Finish(jobs[0].uid, Cancelled)
+		g.Finish(jobs[0].uid, state)
 		g.UpdateUrgency()
 	}
 }
 
-// BenchmarkFinishInDenseGraphOf500 measures the end of the first job.
-func BenchmarkFinishInDenseGraphOf500(b *testing.B) {
-	jobs := denseGraph(500)
-	b.ReportAllocs()
-	for b.Loop() {
-		b.StopTimer()
-		g := load(jobs)
-		b.StartTimer()
-		g.Finish(jobs[0].uid, Done)
-		g.UpdateUrgency()
-	}
+// BenchmarkCancelDenseGraphOf500 cancels the first job, and all others with it.
+func BenchmarkCancelDenseGraphOf500(b *testing.B) {
+	benchmarkFinishFirst(b, denseGraph(500), Cancelled)
 }
 
+func BenchmarkFinishInDenseGraphOf500(b *testing.B) { benchmarkFinishFirst(b, denseGraph(500), Done) }
+
 // BenchmarkLoad10000Dependencies measures the load of a new leader, with the jobs in any order.
 func BenchmarkLoad10000Dependencies(b *testing.B) {
 	jobs := shuffled(randomGraph(2000, 5))
