--- a/internal/simcluster/users_test.go
+++ b/internal/simcluster/users_test.go
@@ -90,6 +90,26 @@
 	}
 }
 
+// A submission with fields whose names differ from the protocol's in case only is accepted under its own id, with
+// its own properties: it must not be known under the id in a field "uid", nor get 404 under its own.
+func TestUnknownFieldsOfASubmissionAreIgnored(t *testing.T) {
+	t.Parallel()
+	runScenario(t, func(sc *scenario) {
+		const uid, other = "run-000412", "run-000777"
+		body := submissionBody(uid, `"StowS":0=>"StowS":0,"uid":"`+other+`","legs":9,"crew":"nobody","awaits":["`+other+`"]`)
+		sc.expectStatus(http.StatusCreated, "n0", http.MethodPost, "/work", body)
+		time.Sleep(10 * time.Second)
+		for _, node := range nodeNames {
+			var view wire.JobView
+			sc.decode(sc.expectStatus(http.StatusOK, node, http.MethodGet, "/work/"+uid, ""), &view)
+			if view.UID != uid || view.Running != 2 {
+				t.Errorf("job at %s: got %+v, want id %s and 2 tasks running", node, view, uid)
+			}
+			sc.expectStatus(http.StatusNotFound, node, http.MethodGet, "/work/"+other, "")
+		}
+	})
+}
+
 // While a single node cannot reach the state store, it forwards its users' requests. While no node can reach
 // the state store, users get a Retry-After at once.
 func TestNodeWithoutStateStoreForwardsUserRequests(t *testing.T) {
--- a/wire/dependencies.go
+++ b/wire/dependencies.go
@@ -26,7 +26,7 @@
 	var in struct {
 		Dependencies json.RawMessage `json:"Awaits"`
 	}
-	if err := json.Unmarshal(body, &in); err != nil {
+	if err := Decode(body, &in); err != nil {
 		return false
 	}
 	switch string(in.Dependencies) {
--- a/wire/submission.go
+++ b/wire/submission.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 )
@@ -40,7 +39,7 @@
 	if trimmed := bytes.TrimLeft(body, " \t\r\n"); len(trimmed) == 0 || trimmed[0] != '{' {
 		return JobSpec{}, errors.New("body is not a JSON object")
 	}
-	if err := json.Unmarshal(body, &in); err != nil {
+	if err := Decode(body, &in); err != nil {
 		return JobSpec{}, fmt.Errorf("body is not valid: %w", err)
 	}
 	var spec JobSpec
@@ -176,13 +175,13 @@
 	return err
 }
 
-// UIDOf returns the job's id in a submission, and whether that id is valid. The other fields of the body
-// need not be valid.
+// UIDOf returns the job's id in a submission, and whether that id is valid. The body must be a JSON object;
+// its other fields need not be valid.
 func UIDOf(body []byte) (string, bool) {
 	var in struct {
 		UID string `json:"Uid"`
 	}
-	if err := json.Unmarshal(body, &in); err != nil && in.UID == "" {
+	if err := Decode(body, &in); err != nil {
 		return "", false
 	}
 	return in.UID, ValidUID(in.UID)
