Review, case 7: the waiting jobs are arrays of adige, whose sizes the sites vary

Cause: the sites give sizes that differ to adige and alder; ticino, of which the case was made, has one size on them.

--- a/review/trial/cases.go
+++ b/review/trial/cases.go
@@ -73,11 +73,11 @@
 	return waitsBesideRoom(d, "run-000004", func() bool { return fill() && d.onMachines("run-000003") == 0 })
 }
 
-// crowd is the number of services that the window of a cycle can't hold: a cycle considers 200 jobs.
+// crowd is the number of arrays that the window of a cycle can't hold: a cycle considers 200 jobs.
 const crowd = 250
 
-// beyondWindow fills the GPUs of all machines, which leaves cores and memory, and submits a crowd of services that need a GPU
-// and are of slightly different sizes. Then an array without GPUs is submitted, for which every machine has room.
+// beyondWindow fills the GPUs of all machines, which leaves cores and memory, and submits a crowd of arrays that need GPUs and
+// are of slightly different sizes. Then an array without GPUs is submitted, for which every machine has room.
 func beyondWindow(d *deployment, trouble bool) (violation string, err error) {
 	for i := range 3 {
 		if err := d.submit(brenta(i+1, 1)); err != nil {
@@ -92,7 +92,8 @@
 	}
 	if trouble {
 		for i := range crowd {
-			spec := service(100+i, "ticino", wire.High, 1, 5+float64(i)/1000, 1, 25)
+			spec := service(100+i, "adige", wire.Standard, 1, 9.5+float64(i)/100, 2, 50) // 11 CPUs, give or take some
+			spec.Kind, spec.ExpectedRunS, spec.CheckpointIntervalS, spec.CheckpointOnStopS = wire.JobArray, 30, 20, 5
 			if err := d.submit(spec); err != nil {
 				return "", err
 			}
