Review: a run that is told to end does so at once

Cause: a script that was ended by a signal went on in its loops for up to a minute.

Change: review/trial's loops that submit and wait end with the run.

--- a/review/trial/deployment.go
+++ b/review/trial/deployment.go
@@ -360,7 +360,7 @@
 // submitAt submits a job until it is accepted, first at controller first, and then at the others in turn.
 func (d *deployment) submitAt(first int, spec wire.JobSpec) error {
 	d.cluster.Users.RegisterSpec(spec)
-	for deadline, i := time.Now().Add(60*time.Second), first; time.Now().Before(deadline); i++ {
+	for deadline, i := time.Now().Add(60*time.Second), first; time.Now().Before(deadline) && d.ctx.Err() == nil; i++ {
 		status, _ := d.request(i%controllers, http.MethodPost, "/work", spec, 5*time.Second)
 		if status == http.StatusOK || status == http.StatusCreated {
 			return nil
@@ -372,7 +372,7 @@
 
 // await waits until a condition holds.
 func (d *deployment) await(what string, limit time.Duration, condition func() bool) error {
-	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline) && d.ctx.Err() == nil; time.Sleep(100 * time.Millisecond) {
 		if condition() {
 			d.record.logf("reached: %s", what)
 			return nil
