--- a/review/trial/cases.go
+++ b/review/trial/cases.go
@@ -103,6 +103,35 @@
 	return waitsBesideRoom(d, small.UID, fill)
 }
 
+// borrowed lets one team borrow the half of the only machine that is guaranteed to another, with a service that takes all of
+// it. Then the other team submits a job that fits into its guarantee.
+func borrowed(d *deployment, trouble bool) (violation string, err error) {
+	borrower := brenta(1, 1)
+	borrower.Team = "ospiti"
+	if trouble {
+		if err := d.submit(borrower); err != nil {
+			return "", err
+		}
+		if err := d.await("the borrower runs", 30*time.Second, func() bool { return d.onMachines(borrower.UID) == 1 }); err != nil {
+			return "", err
+		}
+	}
+	guaranteed := service(2, "adige", wire.Standard, 1, 11, 2, 50)
+	guaranteed.Kind, guaranteed.ExpectedRunS = wire.JobArray, 30
+	if err := d.submit(guaranteed); err != nil {
+		return "", err
+	}
+	for began := time.Now(); time.Since(began) < leftWaitingLimit; time.Sleep(200 * time.Millisecond) {
+		if d.onMachines(guaranteed.UID) > 0 {
+			d.record.logf("%s runs after %.1f s", guaranteed.UID, time.Since(began).Seconds())
+			return "", nil
+		}
+	}
+	_, view := d.request(0, http.MethodGet, "/work/"+guaranteed.UID, nil, 2*time.Second)
+	return fmt.Sprintf("%s, all that its team has and within its guarantee, is %s after %.0f s; the other team uses 4 GPUs, guaranteed are 2",
+		guaranteed.UID, view.Status, leftWaitingLimit.Seconds()), nil
+}
+
 // lagLimit is how old the state in an answer may be: 3 s by the page.
 const lagLimit = 3 * time.Second
 
