--- a/review/trial/cases.go
+++ b/review/trial/cases.go
@@ -40,6 +40,9 @@
 		if !hasRoom() {
 			return "", fmt.Errorf("the machine that had room for %s is taken", uid)
 		}
+		if err := d.ctx.Err(); err != nil {
+			return "", fmt.Errorf("the run has taken too long: %w", err)
+		}
 		time.Sleep(200 * time.Millisecond)
 	}
 	_, view := d.request(0, http.MethodGet, "/work/"+uid, nil, 2*time.Second)
@@ -126,6 +129,9 @@
 			d.record.logf("%s runs after %.1f s", guaranteed.UID, time.Since(began).Seconds())
 			return "", nil
 		}
+		if err := d.ctx.Err(); err != nil {
+			return "", fmt.Errorf("the run has taken too long: %w", err)
+		}
 	}
 	_, view := d.request(0, http.MethodGet, "/work/"+guaranteed.UID, nil, 2*time.Second)
 	return fmt.Sprintf("%s, all that its team has and within its guarantee, is %s after %.0f s; the other team uses 4 GPUs, guaranteed are 2",
